--- /dev/null
+++ b/cmd/gentianpond/main.go
@@ -0,0 +1,4 @@
+// Command gentianpond is a query tier between callers and backend servers.
+package main
+
+func main() {}
--- /dev/null
+++ b/test/fakes/searcher/doc.go
@@ -0,0 +1,2 @@
+// Package searcher is a fake backend server for tests and demonstrations.
+package searcher
