Call backend servers without ever resending, and add the fake backend server

Cause: net/http resends a replayable request when a reused connection dies, which would run an order twice, and its errors do not tell whether a byte of the request had left. A fake backend server closes connections at each point.

--- /dev/null
+++ b/internal/search/caller/caller_test.go
@@ -0,0 +1,175 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/search/caller"
+	"gentianpond/test/fakes/searcher"
+)
+
+func startFake(t *testing.T, b searcher.Behavior) *searcher.Server {
+	t.Helper()
+	f, err := searcher.Start(t.Context(), searcher.Settings{
+		Name: "s1", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Slots: 4, Connections: 10, Behavior: b,
+		Served:  []searcher.Served{{Archive: "albums", Snapshot: "1", Count: 1, Shards: []uint32{0}}},
+		OnCrash: func() {},
+	})
+	require.NoError(t, err)
+	t.Cleanup(f.Stop)
+	return f
+}
+
+func message(f *searcher.Server, attempt int) caller.Message {
+	return caller.Message{
+		Query: "q", Attempt: strconv.Itoa(attempt), Incarnation: f.Incarnation(), Archive: "albums", Snapshot: "1",
+		Deadline: "1s", Body: json.RawMessage(`"invoice"`),
+	}
+}
+
+// TestNoResend guards against an order that runs twice because the HTTP
+// client resends it after the server closed the connection, and against a
+// status that claims "not started" for an order that ran.
+func TestNoResend(t *testing.T) {
+	for _, point := range []string{"before", "running", "after", "answer"} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/reused=%t", point, reused), func(t *testing.T) {
+				f := startFake(t, searcher.Behavior{})
+				c := caller.New(f.Addr(), 1)
+				defer c.Close()
+				if reused {
+					require.Equal(t, caller.Answered, c.Call(t.Context(), caller.OrderPath, message(f, 1)).Status)
+				}
+				f.Set(searcher.Behavior{Close: point})
+				res := c.Call(t.Context(), caller.OrderPath, message(f, 2))
+				require.Equal(t, caller.Broken, res.Status, "%v", res.Err)
+				require.LessOrEqual(t, f.Stats().Orders["2"], 1)
+			})
+		}
+	}
+}
+
+// hangUp is a server that answers the first request on each connection and
+// then closes it without notice, as a server does that drops idle connections.
+type hangUp struct {
+	mu   sync.Mutex
+	seen map[string]int
+}
+
+func (h *hangUp) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go h.connection(c)
+	}
+}
+
+func (h *hangUp) connection(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for i := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		var m caller.Message
+		if err := json.NewDecoder(req.Body).Decode(&m); err != nil {
+			return
+		}
+		h.mu.Lock()
+		h.seen[m.Attempt]++
+		h.mu.Unlock()
+		if i == 1 {
+			return
+		}
+		data, _ := json.Marshal(m)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(data), data)
+		if i == 0 && m.Shard == 1 {
+			return
+		}
+	}
+}
+
+// TestIdleClose guards against a resend, and against a false "not started",
+// when the server closes idle connections at the moment of the next request.
+func TestIdleClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	h := &hangUp{seen: map[string]int{}}
+	go h.serve(l)
+	c := caller.New(l.Addr().(*net.TCPAddr).AddrPort(), 1)
+	defer c.Close()
+	unsent := map[string]bool{}
+	for i := range 400 {
+		m := caller.Message{Attempt: strconv.Itoa(i), Body: json.RawMessage(`1`), Shard: uint32(i % 2)}
+		if c.Call(t.Context(), caller.OrderPath, m).Status == caller.Unsent {
+			unsent[m.Attempt] = true
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for attempt, n := range h.seen {
+		require.Equal(t, 1, n, "attempt %s", attempt)
+		require.False(t, unsent[attempt], "attempt %s ran and was called unsent", attempt)
+	}
+}
+
+// TestStatus guards against an outcome that says more than is known.
+func TestStatus(t *testing.T) {
+	f := startFake(t, searcher.Behavior{})
+	c := caller.New(f.Addr(), 2)
+	defer c.Close()
+	tests := []struct {
+		name     string
+		behavior searcher.Behavior
+		change   func(*caller.Message)
+		want     caller.Status
+	}{
+		{"answered", searcher.Behavior{}, nil, caller.Answered},
+		{"shed", searcher.Behavior{Shed: true}, nil, caller.Shed},
+		{"other snapshot", searcher.Behavior{}, func(m *caller.Message) { m.Snapshot = "2" }, caller.Missing},
+		{"other incarnation", searcher.Behavior{}, func(m *caller.Message) { m.Incarnation++ }, caller.Missing},
+		{"slow", searcher.Behavior{Delay: time.Minute}, nil, caller.TimedOut},
+		{"crossed", searcher.Behavior{Cross: true}, nil, caller.Crossed},
+	}
+	for i, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f.Set(tt.behavior)
+			m := message(f, i)
+			if tt.change != nil {
+				tt.change(&m)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			require.Equal(t, tt.want, c.Call(ctx, caller.SearchPath, m).Status)
+		})
+	}
+	f.Stop()
+	gone := caller.New(f.Addr(), 1)
+	require.Equal(t, caller.Unsent, gone.Call(t.Context(), caller.SearchPath, message(f, 99)).Status)
+}
+
+// TestWarm guards against a first query that waits for a new connection.
+func TestWarm(t *testing.T) {
+	f := startFake(t, searcher.Behavior{})
+	c := caller.New(f.Addr(), 3)
+	defer c.Close()
+	c.Warm(t.Context(), 3)
+	opened := f.Stats().Opened
+	require.Equal(t, caller.Answered, c.Call(t.Context(), caller.SearchPath, message(f, 1)).Status)
+	require.Equal(t, opened, f.Stats().Opened)
+}
--- /dev/null
+++ b/test/fakes/searcher/handle.go
@@ -0,0 +1,178 @@
+package searcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+func (f *Server) mux() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("POST /search", func(w http.ResponseWriter, r *http.Request) { f.handle(w, r, false) })
+	mux.HandleFunc("POST /order", func(w http.ResponseWriter, r *http.Request) { f.handle(w, r, true) })
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(f.Stats()) })
+	mux.HandleFunc("POST /behavior", f.setBehavior)
+	mux.HandleFunc("POST /served", f.setServed)
+	return mux
+}
+
+func (f *Server) setBehavior(w http.ResponseWriter, r *http.Request) {
+	var b Behavior
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.Set(b)
+}
+
+func (f *Server) setServed(w http.ResponseWriter, r *http.Request) {
+	var s []Served
+	if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.Serve(s)
+}
+
+func (f *Server) handle(w http.ResponseWriter, r *http.Request, order bool) {
+	b := f.currentBehavior()
+	if b.Close == "before" {
+		panic(http.ErrAbortHandler)
+	}
+	var q request
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if b.Crash != "" && strings.Contains(string(q.Body), b.Crash) {
+		f.count(q, order)
+		f.crash()
+	}
+	if code := f.admit(q, b); code != 0 {
+		w.Header().Set("Gentianpond-Started", "no")
+		w.WriteHeader(code)
+		return
+	}
+	defer f.leave()
+	f.count(q, order)
+	if b.Close == "running" {
+		panic(http.ErrAbortHandler)
+	}
+	if !f.work(r, b) {
+		return
+	}
+	f.reply(w, q, b)
+}
+
+func (f *Server) currentBehavior() Behavior {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen++
+	f.stats.LastRequest = time.Now()
+	if f.behavior.Draining {
+		f.stats.WhileDraining++
+	}
+	return f.behavior
+}
+
+// crash ends the process, or what stands for it, without answering.
+func (f *Server) crash() {
+	if f.settings.OnCrash == nil {
+		os.Exit(3)
+	}
+	f.settings.OnCrash()
+	panic(http.ErrAbortHandler)
+}
+
+// admit returns 0, or the status under which the request is refused unstarted.
+func (f *Server) admit(q request, b Behavior) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if b.Shed || f.running >= f.settings.Slots {
+		f.stats.Shed++
+		f.stats.MostRunning = max(f.stats.MostRunning, f.running+1)
+		return http.StatusServiceUnavailable
+	}
+	if q.Incarnation != f.incarnation || !f.holds(q) {
+		return http.StatusConflict
+	}
+	f.running++
+	f.stats.MostRunning = max(f.stats.MostRunning, f.running)
+	return 0
+}
+
+func (f *Server) holds(q request) bool {
+	return slices.ContainsFunc(f.served, func(s Served) bool {
+		return s.Archive == q.Archive && s.Snapshot == q.Snapshot && slices.Contains(s.Shards, q.Shard)
+	})
+}
+
+func (f *Server) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running--
+}
+
+func (f *Server) count(q request, order bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !order {
+		f.stats.Searches++
+		return
+	}
+	f.stats.Orders[q.Attempt]++
+	f.stats.Bodies[string(q.Body)]++
+}
+
+// work takes the time that the request needs and reports whether the caller
+// is still there.
+func (f *Server) work(r *http.Request, b Behavior) bool {
+	delay := b.Delay
+	f.mu.Lock()
+	if b.SlowEvery > 0 && f.seen%b.SlowEvery == 0 {
+		delay = b.Slow
+	}
+	f.mu.Unlock()
+	if delay == 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.stats.Cancelled++
+		return false
+	}
+}
+
+func (f *Server) reply(w http.ResponseWriter, q request, b Behavior) {
+	if b.Close == "after" {
+		panic(http.ErrAbortHandler)
+	}
+	a := answer{
+		Query: q.Query, Attempt: q.Attempt, Incarnation: f.incarnation, Snapshot: q.Snapshot, Shard: q.Shard,
+		Body: []hit{{Shard: q.Shard, Snapshot: q.Snapshot, Query: q.Query, Server: f.settings.Name}},
+	}
+	f.mu.Lock()
+	last := f.previous
+	f.previous = &a
+	f.mu.Unlock()
+	if b.Cross && last != nil {
+		a = *last
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if b.Close == "answer" {
+		w.Header().Set("Content-Length", "100000")
+		_ = json.NewEncoder(w).Encode(a)
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(a)
+}
