--- /dev/null
+++ b/cmd/gentianpond/search.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/host/gateway"
+)
+
+const helpSearch = `Send one search to an entry host and print the answer.`
+
+// clientTimeout bounds the wait of the command line for one answer.
+const clientTimeout = time.Minute
+
+func newSearch() command {
+	sub := newSubcommand("search", helpSearch)
+	entry := "127.0.0.1:8080"
+	lane := gateway.Interactive
+	var archive, query, deadline string
+	sub.String(&entry, "e", "entry", "Address of an entry host, IP:port.")
+	sub.String(&lane, "l", "lane", "Lane: interactive or bulk.")
+	sub.String(&deadline, "d", "deadline", "Deadline, for example 160ms.")
+	sub.AddPositionalValue(&archive, "archive", 1, true, "Archive to search.")
+	sub.AddPositionalValue(&query, "query", 2, true, "Query: JSON, or plain text.")
+	return command{sub: sub, run: func(ctx context.Context) error {
+		r := gateway.SearchRequest{ID: requestID(), Archive: archive, Lane: lane, Deadline: deadline, Query: jsonOrText(query)}
+		var a gateway.SearchAnswer
+		if err := post(ctx, entry, "/v1/search", nil, r, &a); err != nil {
+			return err
+		}
+		return printAnswer(a, a.Outcome, a.Reason)
+	}}
+}
+
+func requestID() string { return fmt.Sprintf("cli-%d", time.Now().UnixNano()) }
+
+// jsonOrText returns s itself when it is JSON, else s as a JSON string.
+func jsonOrText(s string) json.RawMessage {
+	if json.Valid([]byte(s)) {
+		return json.RawMessage(s)
+	}
+	data, _ := json.Marshal(s)
+	return data
+}
+
+// post sends body once and decodes the answer, whatever its status is.
+func post(ctx context.Context, entry, path string, header http.Header, body, answer any) error {
+	if _, err := netip.ParseAddrPort(entry); err != nil {
+		return errors.Wrapf(errUsage, "entry host %q is not IP:port", entry)
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+path, io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrapf(errUnknown, "ask entry host: %v", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if err := json.NewDecoder(res.Body).Decode(answer); err != nil {
+		return errors.Wrapf(errUnknown, "read answer with status %d: %v", res.StatusCode, err)
+	}
+	return nil
+}
+
+// printAnswer prints a and turns its outcome into an error.
+func printAnswer(a any, outcome, reason string) error {
+	if err := printJSON(a); err != nil {
+		return err
+	}
+	switch outcome {
+	case gateway.Ran:
+		return nil
+	case gateway.NotRun:
+		return errors.Wrap(errNotRun, reason)
+	default:
+		return errors.Wrap(errUnknown, reason)
+	}
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(v), "print")
+}
