Add the decision packages of the search path

Cause: the coordinator and the caller need the decisions of the search path as pure functions to build on.

--- /dev/null
+++ b/internal/search/pinner/version.go
@@ -0,0 +1,49 @@
+package pinner
+
+import (
+	"cmp"
+	"strings"
+)
+
+// Compare orders two snapshot versions: negative when a is older than b.
+// Versions that consist of decimal digits only compare as numbers of any
+// length, and every number is older than any other text. Two other texts
+// compare by length and then byte by byte, so that "v9" is older than "v10".
+// Texts that differ only in leading zeros compare by length, so that the order
+// is total and equal only for identical texts.
+func Compare(a, b string) int {
+	an, bn := isNumber(a), isNumber(b)
+	switch {
+	case an && bn:
+		return compareNumbers(a, b)
+	case an:
+		return -1
+	case bn:
+		return 1
+	}
+	return compareTexts(a, b)
+}
+
+func isNumber(s string) bool {
+	for i := range len(s) {
+		if s[i] < '0' || s[i] > '9' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func compareNumbers(a, b string) int {
+	c := compareTexts(strings.TrimLeft(a, "0"), strings.TrimLeft(b, "0"))
+	if c != 0 {
+		return c
+	}
+	return cmp.Compare(len(a), len(b))
+}
+
+func compareTexts(a, b string) int {
+	if c := cmp.Compare(len(a), len(b)); c != 0 {
+		return c
+	}
+	return strings.Compare(a, b)
+}
--- /dev/null
+++ b/internal/search/selector/average.go
@@ -0,0 +1,50 @@
+package selector
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// sampleWeight is the share of the newest sample in an average.
+	sampleWeight = 0.2
+	// halfLife is the age at which an observation counts half.
+	halfLife = 5 * time.Second
+)
+
+// average is an exponentially weighted moving average that fades towards a
+// prior with the age of its last sample. The zero value holds no sample.
+type average struct {
+	mean float64
+	at   time.Time
+}
+
+// add moves the average towards a sample. A stale average gives way to the new
+// sample in proportion to its age.
+func (a *average) add(now time.Time, sample float64) {
+	if a.at.IsZero() {
+		a.mean = sample
+		a.at = now
+		return
+	}
+	keep := (1 - sampleWeight) * confidence(now.Sub(a.at))
+	a.mean = keep*a.mean + (1-keep)*sample
+	a.at = now
+}
+
+// value returns the average mixed with the prior according to its age.
+func (a *average) value(now time.Time, prior float64) float64 {
+	if a.at.IsZero() {
+		return prior
+	}
+	c := confidence(now.Sub(a.at))
+	return c*a.mean + (1-c)*prior
+}
+
+// confidence falls from 1 at age 0 by half per half-life.
+func confidence(age time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
--- /dev/null
+++ b/internal/search/selector/status.go
@@ -0,0 +1,20 @@
+package selector
+
+//go:generate stringer -type=Status -linecomment
+
+// Status is how a sub-request ended.
+type Status uint8
+
+const (
+	// Completed means that the server answered.
+	Completed Status = iota // completed
+	// Failed means that the server or the connection to it failed.
+	Failed // failed
+	// TimedOut means that no answer came within the deadline.
+	TimedOut // timed out
+	// Shed means that the server or its owner refused before starting. It is no
+	// failure of the server.
+	Shed // shed
+	// Cancelled means that the answer was no longer needed.
+	Cancelled // cancelled
+)
