Add the interfaces of the tracker, assigner and settings packages

The I/O of entry and control hosts needs the interfaces of these packages before their decisions are complete.

--- /dev/null
+++ b/internal/fleet/tracker/announcement.go
@@ -0,0 +1,149 @@
+package tracker
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"gentianpond/internal/protocol/messenger"
+)
+
+// Lanes that a backend server may accept.
+const (
+	LaneInteractive = "interactive"
+	LaneBulk        = "bulk"
+)
+
+// Announcement is what a backend server says about itself.
+type Announcement struct {
+	// Server is the name of the backend server, unique in the system.
+	Server string
+	// Address is where the backend server takes requests over HTTP.
+	Address netip.AddrPort
+	Zone    string
+	// Incarnation grows with each restart of the server, Sequence with each
+	// announcement of one incarnation.
+	Incarnation uint64
+	Sequence    uint64
+	// Draining is final within an incarnation.
+	Draining bool
+	// Slots is the number of requests that the server runs at once,
+	// Connections the number of connections it accepts.
+	Slots       int
+	Connections int
+	// Load is the server's own estimate of its use, 0 to 1.
+	Load float64
+	// Uptime is the age of the process, for the cold-start ramp.
+	Uptime time.Duration
+	Served []Served
+}
+
+// Served is one snapshot of one archive that a backend server holds shards of.
+type Served struct {
+	Archive  string
+	Snapshot string
+	// Count is the number of shards that the snapshot consists of, Shards
+	// lists those that the server holds, each less than Count.
+	Count  int
+	Shards []int
+	// Lanes lists the lanes that the server accepts; empty means all.
+	Lanes []string
+}
+
+// Newer reports whether a is a later announcement than one with the given
+// incarnation and sequence.
+func (a Announcement) Newer(incarnation, sequence uint64) bool {
+	if a.Incarnation != incarnation {
+		return a.Incarnation > incarnation
+	}
+	return a.Sequence > sequence
+}
+
+// sameContent reports whether a and b differ in nothing but incarnation,
+// sequence, load and uptime.
+func sameContent(a, b Announcement) bool {
+	return a.Address == b.Address &&
+		a.Zone == b.Zone &&
+		a.Draining == b.Draining &&
+		a.Slots == b.Slots &&
+		a.Connections == b.Connections &&
+		slices.EqualFunc(a.Served, b.Served, sameServed)
+}
+
+func sameServed(a, b Served) bool {
+	return a.Archive == b.Archive &&
+		a.Snapshot == b.Snapshot &&
+		a.Count == b.Count &&
+		slices.Equal(a.Shards, b.Shards) &&
+		slices.Equal(a.Lanes, b.Lanes)
+}
+
+// Message returns a as a message of the inner protocol.
+func (a Announcement) Message() *messenger.Announcement {
+	m := &messenger.Announcement{
+		Server:      a.Server,
+		Address:     a.Address.String(),
+		Zone:        a.Zone,
+		Incarnation: a.Incarnation,
+		Sequence:    a.Sequence,
+		Draining:    a.Draining,
+		Slots:       uint32(a.Slots),
+		Connections: uint32(a.Connections),
+		Load:        a.Load,
+		Uptime:      durationpb.New(a.Uptime),
+	}
+	for _, s := range a.Served {
+		m.Served = append(m.Served, s.message())
+	}
+	return m
+}
+
+func (s Served) message() *messenger.Served {
+	m := &messenger.Served{
+		Archive:  s.Archive,
+		Snapshot: s.Snapshot,
+		Count:    uint32(s.Count),
+		Lanes:    s.Lanes,
+	}
+	for _, shard := range s.Shards {
+		m.Shards = append(m.Shards, uint32(shard))
+	}
+	return m
+}
+
+// FromMessage converts a message of the inner protocol and validates it. The
+// error lists all faults and is an ErrInvalid.
+func FromMessage(m *messenger.Announcement) (Announcement, error) {
+	a := Announcement{
+		Server:      m.GetServer(),
+		Zone:        m.GetZone(),
+		Incarnation: m.GetIncarnation(),
+		Sequence:    m.GetSequence(),
+		Draining:    m.GetDraining(),
+		Slots:       int(m.GetSlots()),
+		Connections: int(m.GetConnections()),
+		Load:        m.GetLoad(),
+		Uptime:      m.GetUptime().AsDuration(),
+	}
+	// An address that cannot be parsed stays the zero value, which Validate
+	// reports.
+	a.Address, _ = netip.ParseAddrPort(m.GetAddress())
+	for _, s := range m.GetServed() {
+		served := Served{
+			Archive:  s.GetArchive(),
+			Snapshot: s.GetSnapshot(),
+			Count:    int(s.GetCount()),
+			Lanes:    s.GetLanes(),
+		}
+		for _, shard := range s.GetShards() {
+			served.Shards = append(served.Shards, int(shard))
+		}
+		a.Served = append(a.Served, served)
+	}
+	if err := a.Validate(); err != nil {
+		return Announcement{}, err
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/fleet/tracker/validate.go
@@ -0,0 +1,133 @@
+package tracker
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/settings/scanner"
+)
+
+// Limits of one announcement. They bound the memory and the bytes that one
+// server can cause.
+const (
+	maxSlots       = 4096
+	maxConnections = 65535
+	maxServed      = 64
+	maxCount       = 1 << 20
+	maxShards      = 4096
+)
+
+// ErrInvalid is the sentinel for announcements that break a rule of the
+// format.
+var ErrInvalid = errors.New("announcement is invalid")
+
+// InvalidError lists all faults of an announcement. errors.Is reports true
+// for ErrInvalid.
+type InvalidError struct {
+	Faults []string
+}
+
+// Error returns all faults in one line.
+func (e *InvalidError) Error() string {
+	return ErrInvalid.Error() + ": " + strings.Join(e.Faults, "; ")
+}
+
+// Unwrap returns ErrInvalid.
+func (e *InvalidError) Unwrap() error { return ErrInvalid }
+
+func (e *InvalidError) add(format string, args ...any) {
+	e.Faults = append(e.Faults, fmt.Sprintf(format, args...))
+}
+
+// Validate returns an *InvalidError that lists all faults of a, or nil.
+func (a Announcement) Validate() error {
+	var e InvalidError
+	if !scanner.ValidName(a.Server) {
+		e.add("server %q is not a name", a.Server)
+	}
+	if !a.Address.IsValid() || a.Address.Port() == 0 || a.Address.Addr().IsUnspecified() {
+		e.add("address %q is not IP:port of a host", a.Address)
+	}
+	if !scanner.ValidName(a.Zone) {
+		e.add("zone %q is not a name", a.Zone)
+	}
+	if a.Incarnation == 0 {
+		e.add("incarnation is 0")
+	}
+	if a.Sequence == 0 {
+		e.add("sequence is 0")
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		e.add("slots %d is not from 1 to %d", a.Slots, maxSlots)
+	}
+	if a.Connections < 1 || a.Connections > maxConnections {
+		e.add("connections %d is not from 1 to %d", a.Connections, maxConnections)
+	}
+	if math.IsNaN(a.Load) || a.Load < 0 || a.Load > 1 {
+		e.add("load %v is not from 0 to 1", a.Load)
+	}
+	if a.Uptime < 0 {
+		e.add("uptime %s is negative", a.Uptime)
+	}
+	a.validateServed(&e)
+	if len(e.Faults) > 0 {
+		return &e
+	}
+	return nil
+}
+
+func (a Announcement) validateServed(e *InvalidError) {
+	if len(a.Served) > maxServed {
+		e.add("%d snapshots are served, more than %d", len(a.Served), maxServed)
+		return
+	}
+	type key struct{ archive, snapshot string }
+	seen := map[key]bool{}
+	for _, s := range a.Served {
+		k := key{s.Archive, s.Snapshot}
+		if seen[k] {
+			e.add("archive %q snapshot %q is listed twice", s.Archive, s.Snapshot)
+		}
+		seen[k] = true
+		s.validate(e)
+	}
+}
+
+func (s Served) validate(e *InvalidError) {
+	where := fmt.Sprintf("archive %q snapshot %q", s.Archive, s.Snapshot)
+	if !scanner.ValidName(s.Archive) {
+		e.add("%s: the archive is not a name", where)
+	}
+	if !scanner.ValidName(s.Snapshot) {
+		e.add("%s: the snapshot is not a name", where)
+	}
+	if s.Count < 1 || s.Count > maxCount {
+		e.add("%s: count %d is not from 1 to %d", where, s.Count, maxCount)
+	}
+	if len(s.Shards) == 0 || len(s.Shards) > maxShards {
+		e.add("%s: %d shards are listed, not 1 to %d", where, len(s.Shards), maxShards)
+	}
+	shards := map[int]bool{}
+	for _, shard := range s.Shards {
+		if shard < 0 || shard >= s.Count {
+			e.add("%s: shard %d is not less than count %d", where, shard, s.Count)
+		}
+		if shards[shard] {
+			e.add("%s: shard %d is listed twice", where, shard)
+		}
+		shards[shard] = true
+	}
+	lanes := map[string]bool{}
+	for _, lane := range s.Lanes {
+		if lane != LaneInteractive && lane != LaneBulk {
+			e.add("%s: lane %q is not %q or %q", where, lane, LaneInteractive, LaneBulk)
+		}
+		if lanes[lane] {
+			e.add("%s: lane %q is listed twice", where, lane)
+		}
+		lanes[lane] = true
+	}
+}
--- /dev/null
+++ b/internal/settings/sizer/sizer.go
@@ -0,0 +1,217 @@
+// Package sizer reads a workload file: the sizes of one user's applications,
+// from which the demo and the benchmarks build their fake searchers.
+package sizer
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/settings/scanner"
+)
+
+// ErrInvalid is the sentinel for a workload file with faults. The error is a
+// *scanner.Error that lists them all.
+var ErrInvalid = scanner.ErrInvalid
+
+// Limits of a workload file.
+const (
+	maxZones       = 64
+	maxInstances   = 100000
+	maxSearchers   = 100000
+	maxSlots       = 4096
+	maxConnections = 65535
+	maxDelay       = time.Second
+)
+
+// Workload holds the sizes of one user.
+type Workload struct {
+	User  string
+	Zones []string
+	// Between is the one-way time between two zones, Clients that between
+	// callers and entry hosts.
+	Between      time.Duration
+	Clients      time.Duration
+	Applications []Application
+}
+
+// Application is one application and the archive of the same name.
+type Application struct {
+	Name string
+	// Instances is the number of instances of an application whose instances
+	// hold one shard each, else 0. Searchers is the number of searchers per
+	// instance, or in total if there are no instances.
+	Instances int
+	Searchers int
+	// Slots and Connections are limits of one searcher.
+	Slots       int
+	Connections int
+	// Connect is the cost of a new connection.
+	Connect time.Duration
+}
+
+// Searcher is one searcher of a workload.
+type Searcher struct {
+	Name string
+	Zone string
+	// Archive is the name of the application, Count the number of its shards
+	// and Shards those that the searcher holds.
+	Archive     string
+	Count       int
+	Shards      []int
+	Slots       int
+	Connections int
+	Connect     time.Duration
+}
+
+// Read reads a workload file.
+func Read(path string) (Workload, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Workload{}, errors.Wrap(err, "read workload")
+	}
+	return Parse(path, text)
+}
+
+// Parse is Read for a text; name is used in errors only.
+func Parse(name string, text []byte) (Workload, error) {
+	s, root := scanner.Parse(name, text)
+	var w Workload
+	if o, ok := root.Object("user", "zones", "between", "clients", "applications"); ok {
+		w = parseWorkload(o)
+	}
+	if err := s.Err(); err != nil {
+		return Workload{}, err
+	}
+	return w, nil
+}
+
+func parseWorkload(o scanner.Object) Workload {
+	var w Workload
+	if n, ok := o.Need("user"); ok {
+		w.User, _ = n.Name()
+	}
+	if n, ok := o.Need("zones"); ok {
+		w.Zones = parseZones(n)
+	}
+	if n, ok := o.Need("between"); ok {
+		w.Between, _ = n.Duration(0, maxDelay)
+	}
+	if n, ok := o.Need("clients"); ok {
+		w.Clients, _ = n.Duration(0, maxDelay)
+	}
+	n, ok := o.Need("applications")
+	if !ok {
+		return w
+	}
+	seen := map[string]bool{}
+	nodes, _ := n.Array()
+	for _, n := range nodes {
+		fields, ok := n.Object("name", "instances", "searchers", "slots", "connections", "connect")
+		if !ok {
+			continue
+		}
+		a := parseApplication(n, fields)
+		if seen[a.Name] {
+			n.Fault("application %q is listed twice", a.Name)
+		}
+		seen[a.Name] = true
+		w.Applications = append(w.Applications, a)
+	}
+	return w
+}
+
+func parseZones(n scanner.Node) []string {
+	nodes, ok := n.Array()
+	if !ok {
+		return nil
+	}
+	if len(nodes) == 0 || len(nodes) > maxZones {
+		n.Fault("%d zones are listed, not 1 to %d", len(nodes), maxZones)
+	}
+	var zones []string
+	seen := map[string]bool{}
+	for _, n := range nodes {
+		zone, ok := n.Name()
+		if ok && seen[zone] {
+			n.Fault("zone %q is listed twice", zone)
+		}
+		seen[zone] = true
+		zones = append(zones, zone)
+	}
+	return zones
+}
+
+func parseApplication(n scanner.Node, o scanner.Object) Application {
+	var a Application
+	if n, ok := o.Need("name"); ok {
+		a.Name, _ = n.Name()
+	}
+	if n, ok := o.Field("instances"); ok {
+		a.Instances = whole(n, maxInstances)
+	}
+	if n, ok := o.Need("searchers"); ok {
+		a.Searchers = whole(n, maxSearchers)
+	}
+	if n, ok := o.Need("slots"); ok {
+		a.Slots = whole(n, maxSlots)
+	}
+	if n, ok := o.Need("connections"); ok {
+		a.Connections = whole(n, maxConnections)
+	}
+	if n, ok := o.Need("connect"); ok {
+		a.Connect, _ = n.Duration(0, maxDelay)
+	}
+	if a.Instances == 0 && a.Searchers == 1 {
+		n.Fault("an application without instances needs 2 searchers or more, so that each shard has a replica")
+	}
+	return a
+}
+
+func whole(n scanner.Node, high uint64) int {
+	v, _ := n.Uint(1, high)
+	return int(v)
+}
+
+// Shards returns the number of shards of the application's archive: one per
+// instance, or one per two searchers, rounded down.
+func (a Application) Shards() int {
+	if a.Instances > 0 {
+		return a.Instances
+	}
+	return a.Searchers / 2
+}
+
+// total returns the number of searchers of the application.
+func (a Application) total() int {
+	if a.Instances > 0 {
+		return a.Instances * a.Searchers
+	}
+	return a.Searchers
+}
+
+// Searchers lists the searchers of all applications. The replicas of a shard
+// lie in zones that follow each other, beginning with another zone for each
+// shard, so that both replicas and load are spread.
+func (w Workload) Searchers() []Searcher {
+	var list []Searcher
+	for _, a := range w.Applications {
+		count := a.Shards()
+		for i := range a.total() {
+			shard, replica := i%count, i/count
+			list = append(list, Searcher{
+				Name:        fmt.Sprintf("%s-%d-%d", a.Name, shard, replica),
+				Zone:        w.Zones[(shard+replica)%len(w.Zones)],
+				Archive:     a.Name,
+				Count:       count,
+				Shards:      []int{shard},
+				Slots:       a.Slots,
+				Connections: a.Connections,
+				Connect:     a.Connect,
+			})
+		}
+	}
+	return list
+}
