Add the ledger of order intents

Cause: a non-idempotent request may run at most once, also when its caller resends it through another host. Change: recorder keeps one record per idempotency key and grants each key to one attempt. A floor on creation times keeps purged keys refused when the retention window is raised later.

--- /dev/null
+++ b/internal/order/recorder/recorder.go
@@ -0,0 +1,355 @@
+// Package recorder holds the ledger of order intents and their outcomes. It is
+// part of the replicated state: every host computes the same ledger from the
+// same calls, so it reads no clock and no random numbers.
+package recorder
+
+import (
+	"container/heap"
+	"slices"
+	"strings"
+	"time"
+)
+
+//go:generate stringer -type=Verdict,Outcome -linecomment
+
+// Verdict is the ledger's answer to a reservation or a completion.
+type Verdict int
+
+// The verdicts. VerdictNone is what a reply without a verdict decodes to.
+const (
+	VerdictNone       Verdict = iota // none
+	VerdictGranted                   // granted
+	VerdictStored                    // stored
+	VerdictInProgress                // in progress
+	VerdictUnknown                   // unknown
+	VerdictConflict                  // conflict
+	VerdictExpired                   // expired key
+	VerdictInvalid                   // invalid key
+	VerdictFuture                    // key from the future
+	VerdictFull                      // full
+)
+
+// Outcome says what became of an order.
+type Outcome int
+
+// The outcomes. The zero value claims nothing.
+const (
+	OutcomeUnknown Outcome = iota // unknown
+	OutcomeRan                    // ran
+	OutcomeNotRun                 // not run
+)
+
+const (
+	// Grace is added to an attempt's deadline before it counts as unknown. It
+	// covers the difference between the clocks of entry and control hosts.
+	Grace = 5 * time.Second
+	// MaxAhead is how far a key's creation time may lie in the future.
+	MaxAhead = 5 * time.Minute
+	// DefaultRetention applies when a reservation names no retention.
+	DefaultRetention = 24 * time.Hour
+	// MaxRetention bounds how long a record takes up space.
+	MaxRetention = 7 * 24 * time.Hour
+	// MaxDeadline bounds how long an attempt may stay in progress.
+	MaxDeadline = time.Hour
+	// MaxAttempt is the longest name of an attempt in bytes.
+	MaxAttempt = 128
+	// MaxAnswer is the longest stored answer in bytes.
+	MaxAnswer = 64 << 10
+	// MaxCode is the longest stored code in bytes.
+	MaxCode = 128
+	// overhead is the space in bytes that a record takes besides its texts.
+	overhead = 160
+)
+
+// Limits bound the ledger's space. All hosts must use the same limits, or
+// their ledgers differ.
+type Limits struct {
+	// Records is the number of records.
+	Records int
+	// Bytes is the space of all records. A snapshot of the ledger must fit in
+	// one message of the inner protocol.
+	Bytes int
+}
+
+// DefaultLimits are used where a limit is zero.
+var DefaultLimits = Limits{Records: 100_000, Bytes: 32 << 20}
+
+// Record is one order intent and, once it is known, its outcome.
+type Record struct {
+	Key         string
+	Attempt     string
+	Fingerprint uint64
+	Deadline    time.Time
+	Expiry      time.Time
+	// Done is true once the holder of the grant has reported an outcome.
+	Done    bool
+	Outcome Outcome
+	Code    string
+	// Answer is not copied; it must not be modified.
+	Answer []byte
+	// Omitted is true when the order ran and its answer was too large to keep.
+	Omitted bool
+}
+
+func (r *Record) size() int {
+	return overhead + 2*len(r.Key) + len(r.Attempt) + len(r.Code) + len(r.Answer)
+}
+
+// Ledger holds one record per idempotency key. The zero value is an empty
+// ledger with the default limits. It is not safe for concurrent use.
+type Ledger struct {
+	limits  Limits
+	now     time.Time
+	floor   time.Time
+	records map[string]*Record
+	expiry  expiryHeap
+	bytes   int
+}
+
+// New returns an empty ledger.
+func New(limits Limits) *Ledger { return &Ledger{limits: limits} }
+
+// Advance sets the ledger's time, which never goes back, and drops expired
+// records.
+func (l *Ledger) Advance(now time.Time) {
+	if now.After(l.now) {
+		l.now = now
+	}
+	for len(l.expiry) > 0 && !l.expiry[0].Expiry.After(l.now) {
+		l.drop(heap.Pop(&l.expiry).(*Record))
+	}
+}
+
+// drop removes a record and raises the floor to its key's creation time. The
+// floor refuses the key also when a later reservation names a longer
+// retention than the dropped record had.
+func (l *Ledger) drop(r *Record) {
+	delete(l.records, r.Key)
+	l.bytes -= r.size()
+	created, err := Created(r.Key)
+	if err == nil && created.After(l.floor) {
+		l.floor = created
+	}
+}
+
+// Reserve records the intent of attempt to run the order under key. Only the
+// attempt that is granted may dispatch, and only once; it gets the same
+// verdict again while it is in progress, so that it can repeat a call whose
+// answer was lost. The retention is bounded by MaxRetention; zero or less
+// means DefaultRetention.
+func (l *Ledger) Reserve(now time.Time, key, attempt string, fingerprint uint64, deadline time.Time, retention time.Duration) (Verdict, Record) {
+	l.Advance(now)
+	created, err := Created(key)
+	if err != nil || !validAttempt(attempt) {
+		return VerdictInvalid, Record{}
+	}
+	if r := l.records[key]; r != nil {
+		return l.resend(r, attempt, fingerprint)
+	}
+	retention = boundRetention(retention)
+	switch {
+	case created.Sub(l.now) > MaxAhead:
+		return VerdictFuture, Record{}
+	case !created.Add(retention).After(l.now), !created.After(l.floor):
+		return VerdictExpired, Record{}
+	}
+	r := &Record{Key: key, Attempt: attempt, Fingerprint: fingerprint, Deadline: l.boundDeadline(deadline)}
+	if l.full(r.size()) {
+		return VerdictFull, Record{}
+	}
+	r.Expiry = l.expiryOf(created, retention, r.Deadline)
+	l.add(r)
+	return VerdictGranted, *r
+}
+
+// resend answers a reservation of a key that has a record.
+func (l *Ledger) resend(r *Record, attempt string, fingerprint uint64) (Verdict, Record) {
+	if r.Fingerprint != fingerprint {
+		return VerdictConflict, Record{}
+	}
+	verdict := l.status(r)
+	if verdict == VerdictInProgress && r.Attempt == attempt {
+		verdict = VerdictGranted
+	}
+	return verdict, *r
+}
+
+// status is the verdict for a resend by another attempt.
+func (l *Ledger) status(r *Record) Verdict {
+	switch {
+	case r.Done && r.Outcome != OutcomeUnknown:
+		return VerdictStored
+	case r.Done || l.now.After(r.Deadline.Add(Grace)):
+		return VerdictUnknown
+	default:
+		return VerdictInProgress
+	}
+}
+
+// Complete records the outcome of an attempt. A final outcome (ran or not run)
+// never changes; unknown is replaced by a final outcome of the same attempt.
+// The verdict is what a resend gets from now on (stored or unknown), conflict
+// when attempt does not hold the grant, and expired when there is no record.
+func (l *Ledger) Complete(now time.Time, key, attempt string, outcome Outcome, code string, answer []byte) (Verdict, Record) {
+	l.Advance(now)
+	r := l.records[key]
+	switch {
+	case r == nil:
+		return l.absent(key)
+	case r.Attempt != attempt:
+		return VerdictConflict, Record{}
+	case outcome < OutcomeUnknown || outcome > OutcomeNotRun:
+		return VerdictInvalid, Record{}
+	}
+	if !r.Done || (r.Outcome == OutcomeUnknown && outcome != OutcomeUnknown) {
+		l.store(r, outcome, code, answer)
+	}
+	return l.status(r), *r
+}
+
+func (l *Ledger) absent(key string) (Verdict, Record) {
+	if _, err := Created(key); err != nil {
+		return VerdictInvalid, Record{}
+	}
+	return VerdictExpired, Record{}
+}
+
+// store never refuses: losing an outcome is worse than losing an answer's
+// text, so an answer that does not fit is left out and marked as such.
+func (l *Ledger) store(r *Record, outcome Outcome, code string, answer []byte) {
+	l.bytes -= r.size()
+	r.Done = true
+	r.Outcome = outcome
+	r.Code = boundCode(code)
+	r.Answer = nil
+	r.Omitted = false
+	if len(answer) > MaxAnswer || l.bytes+r.size()+len(answer) > l.maxBytes() {
+		r.Omitted = true
+	} else {
+		r.Answer = slices.Clone(answer)
+	}
+	l.bytes += r.size()
+}
+
+func (l *Ledger) add(r *Record) {
+	if l.records == nil {
+		l.records = map[string]*Record{}
+	}
+	l.records[r.Key] = r
+	l.bytes += r.size()
+	heap.Push(&l.expiry, r)
+}
+
+// expiryOf keeps a record for the retention window after the reservation, so
+// that a resend within the window finds the answer however old the key was,
+// and at least until the attempt has ended.
+func (l *Ledger) expiryOf(created time.Time, retention time.Duration, deadline time.Time) time.Time {
+	expiry := latest(created, l.now).Add(retention)
+	return latest(expiry, deadline.Add(Grace))
+}
+
+// boundDeadline corrects a deadline that a wrong clock put into the past or
+// the far future.
+func (l *Ledger) boundDeadline(deadline time.Time) time.Time {
+	if last := l.now.Add(MaxDeadline); deadline.After(last) {
+		return last
+	}
+	return latest(deadline, l.now)
+}
+
+func (l *Ledger) full(size int) bool {
+	return len(l.records) >= l.maxRecords() || l.bytes+size > l.maxBytes()
+}
+
+func (l *Ledger) maxRecords() int {
+	if l.limits.Records > 0 {
+		return l.limits.Records
+	}
+	return DefaultLimits.Records
+}
+
+func (l *Ledger) maxBytes() int {
+	if l.limits.Bytes > 0 {
+		return l.limits.Bytes
+	}
+	return DefaultLimits.Bytes
+}
+
+// Find returns the record of key.
+func (l *Ledger) Find(key string) (Record, bool) {
+	r := l.records[key]
+	if r == nil {
+		return Record{}, false
+	}
+	return *r, true
+}
+
+// Len returns the number of records.
+func (l *Ledger) Len() int { return len(l.records) }
+
+// Bytes returns the space that the records take.
+func (l *Ledger) Bytes() int { return l.bytes }
+
+// State is the whole content of a ledger, with the records sorted by key.
+type State struct {
+	Now     time.Time
+	Floor   time.Time
+	Records []Record
+}
+
+// State returns the content of the ledger. Answers are shared, not copied.
+func (l *Ledger) State() State {
+	s := State{Now: l.now, Floor: l.floor, Records: make([]Record, 0, len(l.records))}
+	for _, r := range l.records {
+		s.Records = append(s.Records, *r)
+	}
+	slices.SortFunc(s.Records, func(a, b Record) int { return strings.Compare(a.Key, b.Key) })
+	return s
+}
+
+// Load replaces the content of the ledger.
+func (l *Ledger) Load(s State) {
+	*l = Ledger{limits: l.limits, now: s.Now, floor: s.Floor}
+	for _, r := range s.Records {
+		l.add(&r)
+	}
+}
+
+func boundRetention(d time.Duration) time.Duration {
+	if d <= 0 {
+		return DefaultRetention
+	}
+	return min(d, MaxRetention)
+}
+
+// boundCode keeps a cut code valid UTF-8, which a protobuf string has to be.
+func boundCode(code string) string {
+	return strings.ToValidUTF8(code[:min(len(code), MaxCode)], "")
+}
+
+func validAttempt(attempt string) bool {
+	return attempt != "" && len(attempt) <= MaxAttempt
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// expiryHeap orders records by the time at which they expire.
+type expiryHeap []*Record
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].Expiry.Before(h[j].Expiry) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(*Record)) }
+
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
