Add the replicated state machine of the control role

Cause: configuration, order ledger, quarantine and view have to be the same on every control host and survive the loss of a minority of them.

--- /dev/null
+++ b/internal/control/keeper/snapshot.go
@@ -0,0 +1,151 @@
+package keeper
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"gentianpond/internal/guard/quarantiner"
+	"gentianpond/internal/order/recorder"
+	"gentianpond/internal/protocol/messenger"
+)
+
+// Snapshot returns the whole state. Equal states give equal bytes. The bounds
+// of the parts keep it below messenger.MaxMessage.
+func (k *Keeper) Snapshot() ([]byte, error) {
+	state := &messenger.KeeperState{
+		Index:    k.index,
+		Time:     timestamppb.New(k.now),
+		View:     k.View(),
+		Departed: k.view.departed,
+	}
+	k.config.save(state)
+	k.saveLedger(state)
+	k.saveBook(state)
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	return data, nil
+}
+
+func (c *config) save(state *messenger.KeeperState) {
+	state.Revision = c.revision
+	state.History = c.history
+	state.Answers = c.order
+	for _, team := range slices.Sorted(maps.Keys(c.sections)) {
+		state.Sections = append(state.Sections, c.sections[team])
+	}
+}
+
+func (k *Keeper) saveLedger(state *messenger.KeeperState) {
+	ledger := k.ledger.State()
+	state.LedgerTime = timestamppb.New(ledger.Now)
+	state.LedgerFloor = timestamppb.New(ledger.Floor)
+	for _, r := range ledger.Records {
+		state.Records = append(state.Records, &messenger.OrderRecord{
+			Key:         r.Key,
+			Attempt:     r.Attempt,
+			Fingerprint: r.Fingerprint,
+			Deadline:    timestamppb.New(r.Deadline),
+			Expiry:      timestamppb.New(r.Expiry),
+			Done:        r.Done,
+			Outcome:     uint32(r.Outcome),
+			Code:        r.Code,
+			Answer:      r.Answer,
+			Omitted:     r.Omitted,
+		})
+	}
+}
+
+func (k *Keeper) saveBook(state *messenger.KeeperState) {
+	contents := k.book.Contents()
+	state.QuarantineTime = timestamppb.New(contents.Now)
+	state.Quarantine = contents.Revision
+	state.Suspects = k.Suspects()
+	state.Alerts = k.Alerts()
+	for _, r := range contents.Reports {
+		state.Reports = append(state.Reports, &messenger.CrashReport{Id: r.ID, Time: timestamppb.New(r.Time)})
+	}
+}
+
+// Restore replaces the state by that of a snapshot. After an error the state
+// is unchanged.
+func (k *Keeper) Restore(data []byte) error {
+	var state messenger.KeeperState
+	if err := proto.Unmarshal(data, &state); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	restored := New(k.config.check)
+	if err := restored.config.load(&state); err != nil {
+		return errors.Wrap(err, "restore configuration")
+	}
+	restored.index = state.Index
+	restored.now = state.Time.AsTime()
+	restored.view = view{number: state.View.GetNumber(), members: state.View.GetMembers(), departed: state.Departed}
+	restored.loadLedger(&state)
+	restored.loadBook(&state)
+	*k = *restored
+	return nil
+}
+
+func (c *config) load(state *messenger.KeeperState) error {
+	for _, section := range state.Sections {
+		c.sections[section.Team] = section
+	}
+	composed, err := compose(c.sections)
+	if err != nil {
+		return err
+	}
+	c.document = composed
+	c.revision = state.Revision
+	c.history = state.History
+	for _, answer := range state.Answers {
+		c.keep(answer)
+	}
+	return nil
+}
+
+func (k *Keeper) loadLedger(state *messenger.KeeperState) {
+	ledger := recorder.State{Now: state.LedgerTime.AsTime(), Floor: state.LedgerFloor.AsTime()}
+	for _, r := range state.Records {
+		ledger.Records = append(ledger.Records, recorder.Record{
+			Key:         r.Key,
+			Attempt:     r.Attempt,
+			Fingerprint: r.Fingerprint,
+			Deadline:    r.Deadline.AsTime(),
+			Expiry:      r.Expiry.AsTime(),
+			Done:        r.Done,
+			Outcome:     recorder.Outcome(r.Outcome),
+			Code:        r.Code,
+			Answer:      r.Answer,
+			Omitted:     r.Omitted,
+		})
+	}
+	k.ledger.Load(ledger)
+}
+
+func (k *Keeper) loadBook(state *messenger.KeeperState) {
+	contents := quarantiner.Contents{Now: state.QuarantineTime.AsTime(), Revision: state.Quarantine}
+	for _, s := range state.Suspects {
+		contents.Suspicions = append(contents.Suspicions, quarantiner.Suspicion{
+			Fingerprint: s.Fingerprint,
+			Archive:     s.Archive,
+			State:       quarantiner.State(s.State),
+			Crashes:     int(s.Crashes),
+			Expiry:      s.Expiry.AsTime(),
+			Server:      s.Server,
+			Incarnation: s.Incarnation,
+		})
+	}
+	for _, a := range state.Alerts {
+		contents.Alerts = append(contents.Alerts, quarantiner.Alert{Archive: a.Archive, Crash: a.Crash.AsTime()})
+	}
+	for _, r := range state.Reports {
+		contents.Reports = append(contents.Reports, quarantiner.Report{ID: r.Id, Time: r.Time.AsTime()})
+	}
+	k.book.Load(contents)
+}
--- /dev/null
+++ b/internal/control/keeper/sync.go
@@ -0,0 +1,34 @@
+package keeper
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"gentianpond/internal/protocol/messenger"
+)
+
+// Sync returns the part of a sync reply that comes from the replicated state:
+// the view, and the configuration and the quarantine where they are newer than
+// the request's. The leader adds the lease and whether the view is settled,
+// and answers only after read confirmation. Now is the leader's time.
+func (k *Keeper) Sync(r *messenger.SyncRequest, now time.Time) *messenger.SyncReply {
+	if now.Before(k.now) {
+		now = k.now
+	}
+	reply := &messenger.SyncReply{
+		View:       k.View(),
+		Revision:   k.config.revision,
+		Quarantine: k.book.Revision(),
+		Time:       timestamppb.New(now),
+	}
+	if r.GetRevision() < reply.Revision {
+		reply.Document = k.config.document.text
+	}
+	if r.GetQuarantine() < reply.Quarantine {
+		reply.Suspects = k.Suspects()
+		reply.SuspectsSet = true
+		reply.Alerts = k.Alerts()
+	}
+	return reply
+}
--- a/internal/guard/quarantiner/quarantiner.go
+++ b/internal/guard/quarantiner/quarantiner.go
@@ -41,7 +41,7 @@
 	// longer than the window, so that a repeat never revives a suspicion.
 	idWindow = 2 * Window
 	// maxText bounds the texts of an observation in bytes.
-	maxText = 256
+	maxText = 128
 )
 
 // Limits bound the book's space. All hosts must use the same limits.
--- a/internal/order/recorder/recorder.go
+++ b/internal/order/recorder/recorder.go
@@ -72,7 +72,7 @@
 }
 
 // DefaultLimits are used where a limit is zero.
-var DefaultLimits = Limits{Records: 100_000, Bytes: 32 << 20}
+var DefaultLimits = Limits{Records: 100_000, Bytes: 24 << 20}
 
 // Record is one order intent and, once it is known, its outcome.
 type Record struct {
