Test the decision packages of the search path

Cause: limits, budgets, coverage and pinning must hold in every sequence. A long bulk run no longer holds interactive work back behind a request that is to run alone, and a bulk request that is to run alone holds back bulk work for 1 s at most.

--- a/internal/search/limiter/dispatch.go
+++ b/internal/search/limiter/dispatch.go
@@ -37,12 +37,12 @@
 		case startBulkAlone:
 			queue = &l.alones[Bulk]
 		}
-		t, _ := queue.Pop()
-		if why := l.late(now, now, t); why != None {
-			events = l.refuse(t, why, events)
+		w, _ := queue.Pop()
+		if why := l.overdue(now, w); why != None {
+			events = l.refuse(w.ID, why, events)
 			continue
 		}
-		events = l.start(now, t, events)
+		events = l.start(now, w.Ticket, events)
 	}
 }
 
@@ -51,16 +51,19 @@
 	if l.suspended || l.alone || len(l.flying) >= l.slots {
 		return hold
 	}
-	interactive := l.queues[Interactive].Len() > 0
 	idle := len(l.flying) == 0
-	if l.alones[Interactive].Len() > 0 && (l.turns == 0 || !interactive) {
-		if idle {
-			return startInteractiveAlone
-		}
+	interactive := l.queues[Interactive].Len() > 0
+	alone := l.alones[Interactive].Len() > 0
+	due := alone && (l.turns == 0 || !interactive)
+	switch {
+	case due && idle:
+		return startInteractiveAlone
+	case due && l.bulk == 0:
 		return hold
-	}
-	if interactive {
+	case interactive:
 		return startInteractive
+	case alone:
+		return hold
 	}
 	if l.alones[Bulk].Len() > 0 {
 		if idle {
@@ -100,8 +103,8 @@
 	l.longSince = now
 	for _, lane := range []Lane{Bulk, Interactive} {
 		for excess > 0 && l.queues[lane].Len() > 0 {
-			t, _ := l.queues[lane].Pop()
-			events = l.refuse(t, Overload, events)
+			w, _ := l.queues[lane].Pop()
+			events = l.refuse(w.ID, Overload, events)
 			excess--
 		}
 	}
--- a/internal/search/limiter/limiter.go
+++ b/internal/search/limiter/limiter.go
@@ -10,9 +10,12 @@
 //   - Interactive requests start before bulk ones, each lane in order of arrival.
 //   - A request that has expired or cannot finish by its deadline never starts.
 //
-// A waiting interactive request that is to run alone holds back all others, a
-// bulk one only bulk requests. After a request has run alone, as many waiting
-// interactive requests as there are slots go before the next such request.
+// A waiting interactive request that is to run alone holds back bulk requests
+// and, once no bulk request is in flight, interactive ones too: a long bulk run
+// must not stop interactive work. A waiting bulk request that is to run alone
+// holds back only bulk requests, for a limited time. After a request has run
+// alone, as many waiting interactive requests as there are slots go before the
+// next such request.
 package limiter
 
 import (
@@ -28,6 +31,7 @@
 	DefaultAloneQueue       = 8
 	DefaultLong             = 64
 	DefaultPatience         = 100 * time.Millisecond
+	DefaultAloneHold        = time.Second
 )
 
 // Config is the bounds of a limiter. A zero field means the default.
@@ -42,6 +46,9 @@
 	Long int
 	// Patience is how long the queue may stay long before it is cut to Long.
 	Patience time.Duration
+	// AloneHold is how long a bulk request that is to run alone may wait. Without
+	// it, steady interactive work would let it hold back bulk for ever.
+	AloneHold time.Duration
 }
 
 // running is a request in flight.
@@ -53,7 +60,10 @@
 }
 
 // waiting is a queued ticket.
-type waiting = Ticket
+type waiting struct {
+	Ticket
+	since time.Time
+}
 
 // Limiter admits requests to one backend server. It is not safe for concurrent
 // use.
@@ -98,6 +108,9 @@
 	if c.Patience <= 0 {
 		c.Patience = DefaultPatience
 	}
+	if c.AloneHold <= 0 {
+		c.AloneHold = DefaultAloneHold
+	}
 	return c
 }
 
@@ -122,9 +135,10 @@
 	}
 	queue := l.queue(t)
 	var events []Event
-	if !queue.Push(t) {
+	w := waiting{Ticket: t, since: now}
+	if !queue.Push(w) {
 		events = l.dropLate(now, queue, events)
-		if !queue.Push(t) {
+		if !queue.Push(w) {
 			return Decision{Verdict: Refused, Reason: QueueFull, Events: events}
 		}
 	}
@@ -224,8 +238,8 @@
 	if !l.queued.Has(id) {
 		return nil
 	}
-	cancelled := func(t Ticket) Reason {
-		if t.ID == id {
+	cancelled := func(w waiting) Reason {
+		if w.ID == id {
 			return Cancelled
 		}
 		return None
@@ -271,7 +285,7 @@
 func (l *Limiter) Resume() { l.suspended = false }
 
 func (l *Limiter) clear(reason Reason) []Event {
-	all := func(Ticket) Reason { return reason }
+	all := func(waiting) Reason { return reason }
 	var events []Event
 	for lane := range laneCount {
 		events = l.drop(&l.queues[lane], all, events)
@@ -283,26 +297,37 @@
 
 // drop refuses the tickets of a queue for which reason returns one and keeps
 // the order of the others.
-func (l *Limiter) drop(q *container.Ring[waiting], reason func(Ticket) Reason, events []Event) []Event {
+func (l *Limiter) drop(q *container.Ring[waiting], reason func(waiting) Reason, events []Event) []Event {
 	for range q.Len() {
-		t, _ := q.Pop()
-		why := reason(t)
+		w, _ := q.Pop()
+		why := reason(w)
 		if why == None {
-			q.Push(t)
+			q.Push(w)
 			continue
 		}
-		events = l.refuse(t, why, events)
+		events = l.refuse(w.ID, why, events)
 	}
 	return events
 }
 
 func (l *Limiter) dropLate(now time.Time, q *container.Ring[waiting], events []Event) []Event {
-	return l.drop(q, func(t Ticket) Reason { return l.late(now, now, t) }, events)
+	return l.drop(q, func(w waiting) Reason { return l.overdue(now, w) }, events)
 }
 
-func (l *Limiter) refuse(t Ticket, reason Reason, events []Event) []Event {
-	l.queued.Remove(t.ID)
-	return append(events, Event{ID: t.ID, Verdict: Refused, Reason: reason})
+// overdue returns why a waiting ticket must be refused, or None.
+func (l *Limiter) overdue(now time.Time, w waiting) Reason {
+	if why := l.late(now, now, w.Ticket); why != None {
+		return why
+	}
+	if w.Alone && w.Lane == Bulk && now.Sub(w.since) >= l.config.AloneHold {
+		return Overload
+	}
+	return None
+}
+
+func (l *Limiter) refuse(id uint64, reason Reason, events []Event) []Event {
+	l.queued.Remove(id)
+	return append(events, Event{ID: id, Verdict: Refused, Reason: reason})
 }
 
 func (l *Limiter) start(now time.Time, t Ticket, events []Event) []Event {
--- a/internal/search/limiter/ticket.go
+++ b/internal/search/limiter/ticket.go
@@ -41,7 +41,8 @@
 	TooLate // cannot finish by its deadline
 	// QueueFull means that the lane's queue has no room.
 	QueueFull // queue full
-	// Overload means that the queue stayed long and the ticket was dropped.
+	// Overload means that the queue stayed long, or that a bulk request waited
+	// too long to run alone.
 	Overload // queue stays long
 	// Cancelled means that the caller cancelled the waiting ticket.
 	Cancelled // cancelled
--- /dev/null
+++ b/internal/search/selector/selector_test.go
@@ -0,0 +1,295 @@
+package selector
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var (
+	names = []string{"a", "b", "c", "d"}
+	epoch = time.Unix(1_000_000, 0)
+)
+
+// known is a server as the test remembers it.
+type known struct {
+	Server
+	present  bool
+	inFlight int
+	shedTill time.Time
+	sheds    int
+}
+
+// model is the reference for what may be chosen.
+type model struct {
+	t       *rapid.T
+	s       *Selector
+	now     time.Time
+	servers map[string]*known
+	newest  map[string]uint64
+	sent    []known
+}
+
+func (m *model) update(t *rapid.T) {
+	server := Server{
+		Name:        rapid.SampledFrom(names).Draw(t, "server"),
+		Zone:        rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone"),
+		Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+		Draining:    rapid.Bool().Draw(t, "draining"),
+		Slots:       rapid.IntRange(0, 3).Draw(t, "slots"),
+	}
+	if rapid.Bool().Draw(t, "cold") {
+		server.Started = m.now.Add(time.Duration(rapid.IntRange(-12, 2).Draw(t, "started")) * time.Second)
+	}
+	k := m.servers[server.Name]
+	if k == nil {
+		// The fleet's order of announcements lets no older incarnation return.
+		server.Incarnation = max(server.Incarnation, m.newest[server.Name])
+	}
+	m.newest[server.Name] = max(server.Incarnation, m.newest[server.Name])
+	m.s.Update(server)
+	if k != nil && server.Incarnation < k.Incarnation {
+		return
+	}
+	if k == nil || server.Incarnation > k.Incarnation {
+		k = &known{}
+		m.servers[server.Name] = k
+	}
+	k.Server = server
+	k.present = true
+}
+
+func (m *model) remove(t *rapid.T) {
+	name := rapid.SampledFrom(names).Draw(t, "server")
+	m.s.Remove(name)
+	if k := m.servers[name]; k != nil {
+		k.present = false
+		m.forget(name)
+	}
+}
+
+func (m *model) forget(name string) {
+	if k := m.servers[name]; !k.present && k.inFlight == 0 {
+		delete(m.servers, name)
+	}
+}
+
+func (m *model) choose(t *rapid.T) {
+	candidates := rapid.SliceOfDistinct(rapid.SampledFrom(names), rapid.ID).Draw(t, "candidates")
+	exclude := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 2, rapid.ID).Draw(t, "exclude")
+	r := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "random")))
+	var may, ready []string
+	for _, name := range candidates {
+		k := m.servers[name]
+		if k == nil || !k.present || k.Draining || slices.Contains(exclude, name) {
+			continue
+		}
+		may = append(may, name)
+		if !m.now.Before(k.shedTill) {
+			ready = append(ready, name)
+		}
+	}
+	retry, ok := m.s.ChooseRetry(m.now, r, candidates, exclude)
+	require.Equal(m.t, len(ready) > 0, ok)
+	require.True(m.t, !ok || slices.Contains(ready, retry), "retry to %s, of %v", retry, ready)
+	name, ok := m.s.Choose(m.now, r, candidates, exclude)
+	require.Equal(m.t, len(may) > 0, ok)
+	if !ok {
+		return
+	}
+	require.Contains(m.t, may, name, "draining, unknown, excluded or no candidate")
+	require.True(m.t, len(ready) == 0 || slices.Contains(ready, name), "%s is backed off, %v are not", name, ready)
+	k := m.servers[name]
+	k.inFlight++
+	m.s.Started(name, k.Incarnation)
+	m.sent = append(m.sent, *k)
+}
+
+func (m *model) finish(t *rapid.T) {
+	if len(m.sent) == 0 {
+		t.Skip("nothing in flight")
+	}
+	i := rapid.IntRange(0, len(m.sent)-1).Draw(t, "request")
+	r := m.sent[i]
+	m.sent = slices.Delete(m.sent, i, i+1)
+	status := Status(rapid.IntRange(0, int(Cancelled)).Draw(t, "status"))
+	m.s.Finished(m.now, r.Name, r.Incarnation, status, time.Duration(rapid.IntRange(0, 100).Draw(t, "latency"))*time.Millisecond)
+	k := m.servers[r.Name]
+	if k == nil || k.Incarnation != r.Incarnation {
+		return
+	}
+	k.inFlight--
+	switch status {
+	case Shed:
+		k.shedTill = m.now.Add(min(backOffFirst<<k.sheds, backOffLimit))
+		k.sheds++
+	case Completed:
+		k.sheds = 0
+	}
+	m.forget(r.Name)
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "passed")) * time.Millisecond)
+	m.s.Observed(m.now, rapid.SampledFrom(names).Draw(t, "server"), rapid.Float64().Draw(t, "load"))
+}
+
+func (m *model) check(*rapid.T) {
+	for _, name := range names {
+		want := 0
+		if k := m.servers[name]; k != nil {
+			want = k.inFlight
+		}
+		require.Equal(m.t, want, m.s.InFlight(name))
+	}
+}
+
+// TestChoose guards against work for a server that drains, left, was excluded
+// or is backed off, against a refusal while there is a server, and against
+// in-flight counts that mix incarnations.
+func TestChoose(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, s: New("z1"), now: epoch, servers: map[string]*known{}, newest: map[string]uint64{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"update":      m.update,
+			"remove":      m.remove,
+			"choose":      m.choose,
+			"choose more": m.choose,
+			"finish":      m.finish,
+			"pass":        m.pass,
+			"":            m.check,
+		})
+	})
+}
+
+// fleet returns a selector that knows warm servers with 2 slots each.
+func fleet(zone string, names ...string) *Selector {
+	s := New(zone)
+	for _, name := range names {
+		s.Update(Server{Name: name, Zone: "zone of " + name, Incarnation: 1, Slots: 2})
+	}
+	return s
+}
+
+// share returns the share of choices that fall on a server.
+func share(s *Selector, now time.Time, name string, candidates ...string) float64 {
+	const rounds = 4000
+	r := rand.New(rand.NewPCG(1, 2))
+	hits := 0
+	for range rounds {
+		if got, _ := s.Choose(now, r, candidates, nil); got == name {
+			hits++
+		}
+	}
+	return float64(hits) / rounds
+}
+
+func finish(s *Selector, now time.Time, name string, status Status, latency time.Duration, times int) {
+	for range times {
+		s.Started(name, 1)
+		s.Finished(now, name, 1, status, latency)
+	}
+}
+
+// TestPreference guards the weight of each observation: what the own host saw
+// outweighs what servers report.
+func TestPreference(t *testing.T) {
+	fast, slow := 5*time.Millisecond, 50*time.Millisecond
+	tests := []struct {
+		name  string
+		zone  string
+		setup func(*Selector)
+		age   time.Duration
+		low   float64
+		high  float64
+	}{
+		{"equal servers share", "", func(*Selector) {}, 0, 0.45, 0.55},
+		{"slow server", "", func(s *Selector) {
+			finish(s, epoch, "a", Completed, slow, 5)
+			finish(s, epoch, "b", Completed, fast, 5)
+		}, 0, 0, 0},
+		{"old latency is unknown", "", func(s *Selector) {
+			finish(s, epoch, "a", Completed, slow, 5)
+			finish(s, epoch, "b", Completed, fast, 5)
+		}, time.Minute, 0.4, 0.6},
+		{"fast failures attract nothing", "", func(s *Selector) { finish(s, epoch, "a", Failed, 0, 1); finish(s, epoch, "b", Completed, slow, 5) }, 0, 0, 0},
+		{"timeouts", "", func(s *Selector) { finish(s, epoch, "a", TimedOut, slow, 1) }, 0, 0, 0},
+		{"straggler that lost to hedges", "", func(s *Selector) {
+			finish(s, epoch, "a", Completed, fast, 5)
+			finish(s, epoch, "a", Cancelled, slow, 5)
+		}, 0, 0, 0},
+		{"cancelled early tells nothing", "", func(s *Selector) {
+			finish(s, epoch, "a", Completed, slow, 5)
+			finish(s, epoch, "b", Completed, fast, 5)
+			finish(s, epoch, "a", Cancelled, 0, 50)
+		}, 0, 0, 0},
+		{"reported load", "", func(s *Selector) { s.Observed(epoch, "a", 1) }, 0, 0, 0},
+		{"aged load", "", func(s *Selector) { s.Observed(epoch, "a", 1) }, loadLifetime, 0.45, 0.55},
+		{"misleading load", "", func(s *Selector) { s.Observed(epoch, "b", 1); s.Started("a", 1); s.Started("a", 1) }, 0, 0, 0},
+		{"shed", "", func(s *Selector) { finish(s, epoch, "a", Shed, 0, 1) }, 0, 0, 0},
+		{"shed is no failure", "", func(s *Selector) { finish(s, epoch, "a", Shed, 0, 1) }, backOffFirst, 0.45, 0.55},
+		{"own zone", "zone of a", func(*Selector) {}, 0, 1, 1},
+		{"own zone is full", "zone of a", func(s *Selector) { s.Started("a", 1); s.Started("a", 1) }, 0, 0, 0},
+		{"own zone is slow", "zone of a", func(s *Selector) {
+			finish(s, epoch, "a", Completed, slow, 5)
+			finish(s, epoch, "b", Completed, fast, 5)
+		}, 0, 0, 0},
+		{"owner in own zone", "here", func(s *Selector) { s.Update(Server{Name: "a", OwnerZone: "here", Incarnation: 1, Slots: 2}) }, 0, 1, 1},
+		{"restart cleans the state", "", func(s *Selector) {
+			finish(s, epoch, "a", Failed, 0, 9)
+			s.Update(Server{Name: "a", Incarnation: 2, Slots: 2})
+		}, 0, 0.45, 0.55},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := fleet(tt.zone, "a", "b")
+			tt.setup(s)
+			got := share(s, epoch.Add(tt.age), "a", "a", "b")
+			require.GreaterOrEqual(t, got, tt.low)
+			require.LessOrEqual(t, got, tt.high)
+		})
+	}
+}
+
+// TestRamp guards the cold start: a server's share grows linearly over 10 s.
+func TestRamp(t *testing.T) {
+	s := fleet("", "b")
+	s.Update(Server{Name: "a", Incarnation: 1, Slots: 2, Started: epoch})
+	for age := time.Duration(0); age <= 12*time.Second; age += 2 * time.Second {
+		want := min(age.Seconds()/rampLength.Seconds(), 1) / 2
+		require.InDelta(t, want, share(s, epoch.Add(age), "a", "a", "b"), 0.03, age)
+	}
+	require.Equal(t, 1.0, share(s, epoch, "a", "a"), "a cold server is used if there is nothing else")
+}
+
+// BenchmarkChoose chooses one of 3 replicas for each shard of a query.
+func BenchmarkChoose(b *testing.B) {
+	for _, width := range []int{10, 34, 100, 340} {
+		b.Run(fmt.Sprint(width), func(b *testing.B) {
+			s := New("z0")
+			shards := make([][]string, width)
+			for i := range 3 * width {
+				name := fmt.Sprintf("server-%d", i)
+				s.Update(Server{Name: name, Zone: fmt.Sprintf("z%d", i%3), Incarnation: 1, Slots: 3})
+				finish(s, epoch, name, Completed, time.Duration(i)*time.Microsecond, 1)
+				shards[i/3] = append(shards[i/3], name)
+			}
+			r := rand.New(rand.NewPCG(1, 2))
+			now := epoch.Add(time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				for _, candidates := range shards {
+					if _, ok := s.Choose(now, r, candidates, nil); !ok {
+						b.Fatal("nothing chosen")
+					}
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(width), "ns/choice")
+		})
+	}
+}
