Add the entry host: query coordinator, owner's dispatcher, orders, HTTP API

Cause: the decision packages need their thin shell of I/O. Change: coordinator (root of a query), dispatcher (owner's side), executor (orders), gateway (HTTP, grpc, sharing, planned stop), commands, the demo and the harness for separate processes.

--- /dev/null
+++ b/cmd/gentianpond/control.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/control/keeper"
+	"gentianpond/internal/control/repairer"
+	"gentianpond/internal/control/server"
+	"gentianpond/internal/host/runner"
+	"gentianpond/internal/observe/reporter"
+	"gentianpond/internal/settings/checker"
+	"gentianpond/internal/settings/loader"
+	"gentianpond/internal/settings/scanner"
+)
+
+const helpControl = `Run a control host: keep the configuration, the order ledger and the view of
+entry hosts, replicated with the other control hosts.
+
+A host whose data folder is empty waits until the others take it in.`
+
+func newControl() command {
+	sub := newSubcommand("control", helpControl)
+	path := "control.json"
+	sub.String(&path, "s", "settings", "File with the settings of this host.")
+	return command{sub: sub, run: func(context.Context) error {
+		s, err := readControl(path)
+		if err != nil {
+			return err
+		}
+		return runControl(s)
+	}}
+}
+
+func readControl(path string) (loader.Control, error) {
+	s, warnings, err := loader.ReadControl(path)
+	if err != nil {
+		return s, errors.Wrap(errUsage, err.Error())
+	}
+	warn(path, warnings)
+	return s, nil
+}
+
+// controlSettings turns the settings file into those of the server.
+func controlSettings(s loader.Control) server.Settings {
+	settings := server.Settings{Name: s.Name, Zone: s.Zone, Inner: s.Inner, Data: s.Data, Check: checkDocument}
+	for _, h := range s.Hosts {
+		settings.Hosts = append(settings.Hosts, repairer.Host{Name: h.Name, Zone: h.Zone, Address: h.Address})
+	}
+	return settings
+}
+
+func runControl(s loader.Control) (err error) {
+	metrics := reporter.NewMetrics()
+	defer func() { err = errors.Join(err, metrics.Close()) }()
+	c, err := server.New(controlSettings(s), reporter.Log(os.Stderr, "control "+s.Name), metrics.Scope)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics.Page)
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	page := &http.Server{Addr: s.Listen.String(), Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	var group runner.Group
+	group.Add(c.Run)
+	group.AddCloser(page.ListenAndServe, func() { _ = page.Close() })
+	group.AddSignals(nil)
+	return group.Run()
+}
+
+// checkDocument is the check that a document passes before it is accepted.
+func checkDocument(text []byte) []keeper.Fault {
+	_, err := checker.ParseDocument("document", text)
+	var faults *scanner.Error
+	if !errors.As(err, &faults) {
+		return nil
+	}
+	var list []keeper.Fault
+	for _, f := range faults.Faults {
+		list = append(list, keeper.Fault(f))
+	}
+	return list
+}
--- /dev/null
+++ b/internal/host/gateway/announce.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/fleet/tracker"
+)
+
+// handleAnnounce takes the announcement of a backend server.
+func (g *Gateway) handleAnnounce(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tracker.MaxBody))
+	if err != nil {
+		http.Error(w, "announcement can't be read: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	a, err := tracker.ParseJSON(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g.fleetMu.Lock()
+	err = g.fleet.Announce(time.Now(), a)
+	g.fleetMu.Unlock()
+	switch {
+	case err == nil:
+		g.coordinator.Observed(time.Now(), a.Server, a.Load)
+		w.WriteHeader(http.StatusNoContent)
+	case errors.Is(err, tracker.ErrStale):
+		// A delayed announcement is no fault of the backend server.
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
--- /dev/null
+++ b/internal/host/gateway/peers.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+
+	"gentianpond/internal/fleet/assigner"
+	"gentianpond/internal/observe/reporter"
+	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/search/coordinator"
+)
+
+// peers holds one connection to each other entry host.
+type peers struct {
+	options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+func newPeers(traces *reporter.Traces) *peers {
+	handler := otelgrpc.NewClientHandler(otelgrpc.WithTracerProvider(traces.Provider()))
+	return &peers{options: []grpc.DialOption{grpc.WithStatsHandler(handler)}, conns: map[netip.AddrPort]*grpc.ClientConn{}}
+}
+
+func (p *peers) conn(m assigner.Member) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conns[m.Address]; ok {
+		return c, nil
+	}
+	c, err := messenger.Dial(m.Address, p.options...)
+	if err != nil {
+		return nil, err
+	}
+	c.Connect()
+	p.conns[m.Address] = c
+	return c, nil
+}
+
+func (p *peers) client(m assigner.Member) (messenger.EntryClient, error) {
+	c, err := p.conn(m)
+	if err != nil {
+		return nil, err
+	}
+	return messenger.NewEntryClient(c), nil
+}
+
+// ready returns a client whose connection stands. Without it nothing was
+// sent, which is what ErrUnsent says.
+func (p *peers) ready(ctx context.Context, m assigner.Member) (messenger.EntryClient, error) {
+	c, err := p.conn(m)
+	if err != nil {
+		return nil, errors.Wrap(coordinator.ErrUnsent, err.Error())
+	}
+	for state := c.GetState(); state != connectivity.Ready; state = c.GetState() {
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			return nil, coordinator.ErrUnsent
+		}
+		c.Connect()
+		if !c.WaitForStateChange(ctx, state) {
+			return nil, coordinator.ErrUnsent
+		}
+	}
+	return messenger.NewEntryClient(c), nil
+}
--- /dev/null
+++ b/internal/host/gateway/refuse.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/order/executor"
+	"gentianpond/internal/search/coordinator"
+)
+
+// The codes of refusals; a refused request did not run.
+const (
+	CodeMalformed   = "malformed"
+	CodeOversized   = "oversized"
+	CodeArchive     = "archive"
+	CodeLane        = "lane"
+	CodeDeadline    = "deadline"
+	CodeDraining    = "draining"
+	CodeStale       = "stale"
+	CodeQuarantined = "quarantined"
+	CodeOverloaded  = "overloaded"
+	CodeUnavailable = "unavailable"
+	CodeNoAnswer    = "answer"
+)
+
+// refusal says why a request did not run.
+type refusal struct {
+	code   string
+	reason string
+}
+
+// Error returns the reason.
+func (r *refusal) Error() string { return r.reason }
+
+func refuse(code, reason string) *refusal { return &refusal{code: code, reason: reason} }
+
+// statuses are the HTTP statuses of codes; any other code is 503.
+var statuses = map[string]int{
+	"":                    http.StatusOK,
+	CodeMalformed:         http.StatusBadRequest,
+	CodeOversized:         http.StatusRequestEntityTooLarge,
+	CodeArchive:           http.StatusNotFound,
+	CodeLane:              http.StatusBadRequest,
+	CodeDeadline:          http.StatusBadRequest,
+	CodeQuarantined:       http.StatusUnprocessableEntity,
+	CodeOverloaded:        http.StatusTooManyRequests,
+	CodeNoAnswer:          http.StatusGatewayTimeout,
+	executor.CodeConflict: http.StatusConflict,
+	executor.CodeExpired:  http.StatusGone,
+	executor.CodeKey:      http.StatusBadRequest,
+	executor.CodeProgress: http.StatusAccepted,
+	executor.CodeUnknown:  http.StatusGatewayTimeout,
+	executor.CodeBackend:  http.StatusBadGateway,
+}
+
+func statusOf(code string) int {
+	if s, ok := statuses[code]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// codeOf returns the code of a search that did not bring an answer.
+func codeOf(err error) string {
+	switch {
+	case errors.Is(err, coordinator.ErrArchive):
+		return CodeArchive
+	case errors.Is(err, coordinator.ErrNotStarted):
+		return CodeOverloaded
+	case errors.Is(err, coordinator.ErrNoAnswer):
+		return CodeNoAnswer
+	default:
+		return CodeUnavailable
+	}
+}
--- /dev/null
+++ b/test/e2e/kill_test.go
@@ -0,0 +1,110 @@
+package e2e_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+)
+
+// checkSearch verifies that an answer is whole, of one snapshot and only of
+// its own query, and that its coverage is what the hits show.
+func checkSearch(t *testing.T, a gateway.SearchAnswer) {
+	t.Helper()
+	shards := map[string]bool{}
+	queries := map[string]bool{}
+	for _, raw := range a.Hits {
+		h := decodeHit(t, raw)
+		assert.Equal(t, a.Snapshot, h.Snapshot, "a hit of another snapshot")
+		shards[fmt.Sprint(h.Shard)] = true
+		queries[h.Query] = true
+	}
+	assert.LessOrEqual(t, len(queries), 1, "hits of several queries in one answer")
+	assert.Len(t, shards, int(a.Coverage.Answered), "coverage and hits differ")
+	assert.Len(t, a.Hits, int(a.Coverage.Answered), "a shard counted twice")
+	assert.Equal(t, a.Coverage.Shards, a.Coverage.Answered+uint32(len(a.Coverage.Missing)))
+}
+
+// tally counts what became of the requests of a test.
+type tally struct {
+	mu       sync.Mutex
+	outcomes map[string]string
+	broken   int
+}
+
+func (y *tally) put(body, outcome string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if y.outcomes == nil {
+		y.outcomes = map[string]string{}
+	}
+	y.outcomes[body] = outcome
+}
+
+// TestKill guards against lost, doubled and mixed answers when an entry host
+// and a backend server are killed while searches and orders run.
+func TestKill(t *testing.T) {
+	y := newSystem(t, shape{control: 3, entries: 3, shards: 4, replicas: 2, section: section, behavior: searcher.Behavior{Delay: 3 * time.Millisecond}})
+	var orders tally
+	workers := parallel(6, func(w int) {
+		for i := range 120 {
+			addr := y.callers[(w+i)%len(y.callers)]
+			if a, err := y.search(addr, fmt.Sprintf(`"search %d %d"`, w, i), gateway.Interactive); err == nil {
+				checkSearch(t, a)
+			}
+			y.placeOrder(&orders, w, i)
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	time.Sleep(300 * time.Millisecond)
+	y.entries[2].kill()
+	y.fakes[1].kill()
+	workers.Wait()
+	y.checkOrders(&orders)
+	// The group is whole again without the two.
+	a, err := y.search(y.callers[0], `"after"`, gateway.Interactive)
+	require.NoError(t, err)
+	require.Empty(t, a.Coverage.Missing, "the remaining replica answers")
+}
+
+// placeOrder sends an order and, when its answer is lost, the same order again
+// through the next entry host.
+func (y *system) placeOrder(orders *tally, w, i int) {
+	body := fmt.Sprintf(`"order %d %d"`, w, i)
+	key := fmt.Sprintf("%d-%d-%d", time.Now().Unix(), w, i)
+	for try := range 3 {
+		a, err := y.order(y.callers[(w+i+try)%len(y.callers)], key, body)
+		if err != nil {
+			continue
+		}
+		orders.put(body, a.Outcome)
+		if a.Code != "progress" {
+			return
+		}
+	}
+}
+
+// checkOrders compares what callers were told with what backend servers ran.
+func (y *system) checkOrders(orders *tally) {
+	y.t.Helper()
+	ran := y.executions()
+	counts := map[string]int{}
+	for body, outcome := range orders.outcomes {
+		counts[outcome]++
+		assert.LessOrEqual(y.t, ran[body], 1, "%s ran %d times", body, ran[body])
+		switch outcome {
+		case gateway.Ran:
+			assert.Equal(y.t, 1, ran[body], "%s was said to have run", body)
+		case gateway.NotRun:
+			assert.Zero(y.t, ran[body], "%s was said not to have run", body)
+		}
+	}
+	y.t.Logf("orders by outcome: %v", counts)
+	assert.NotZero(y.t, counts[gateway.Ran])
+}
--- /dev/null
+++ b/test/e2e/system_test.go
@@ -0,0 +1,361 @@
+// Package e2e_test runs the built programs as separate processes.
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+)
+
+// startTimeout bounds the wait for a condition that has no bound of its own.
+const startTimeout = 30 * time.Second
+
+// The built programs.
+var program, fakeProgram string
+
+func TestMain(m *testing.M) { os.Exit(build(m)) }
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "gentianpond-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	for _, pkg := range []string{"./cmd/gentianpond", "./test/fakes/cmd/fakesearcher"} {
+		c := exec.Command("go", "build", "-o", dir, pkg)
+		c.Dir = filepath.Join("..", "..")
+		if out, err := c.CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "build %s: %v\n%s", pkg, err, out)
+			return 1
+		}
+	}
+	program = filepath.Join(dir, "gentianpond")
+	fakeProgram = filepath.Join(dir, "fakesearcher")
+	return m.Run()
+}
+
+// process is one running program. It can be killed, frozen and started again.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	require.NoError(p.t, err)
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	require.NoError(p.t, p.cmd.Start())
+	done := make(chan struct{})
+	p.done = done
+	go func(c *exec.Cmd) {
+		_ = c.Wait()
+		_ = out.Close()
+		close(done)
+	}(p.cmd)
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// exit waits for the end of the process and returns its exit code.
+func (p *process) exit(timeout time.Duration) int {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(timeout):
+		p.t.Fatalf("%s did not exit in %s:\n%s", p.name, timeout, p.output())
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+func (p *process) output() string {
+	data, _ := os.ReadFile(p.log)
+	return string(data)
+}
+
+// system is a small system of separate processes on loopback.
+type system struct {
+	t        *testing.T
+	dir      string
+	control  []*process
+	entries  []*process
+	fakes    []*process
+	inner    []netip.AddrPort
+	callers  []netip.AddrPort
+	addrs    []netip.AddrPort
+	settings []searcher.Settings
+}
+
+// shape is the size of a system.
+type shape struct {
+	control, entries, shards, replicas int
+	section                            string
+	behavior                           searcher.Behavior
+}
+
+const section = `{"archives": {"albums": {"deadline": "1s", "ceiling": "4s", "shards": 4}}}`
+
+// newSystem starts control hosts, entry hosts and fake backend servers and
+// waits until a search covers every shard.
+func newSystem(t *testing.T, s shape) *system {
+	t.Helper()
+	y := &system{t: t, dir: t.TempDir()}
+	ports := freePorts(t, 2*s.control+2*s.entries+s.shards*s.replicas)
+	take := func(n int) []netip.AddrPort {
+		taken := ports[:n]
+		ports = ports[n:]
+		return taken
+	}
+	y.inner = take(s.control)
+	y.writeControl(take(s.control))
+	y.callers = take(s.entries)
+	y.writeEntries(take(s.entries))
+	y.addrs = take(s.shards * s.replicas)
+	t.Cleanup(y.stop)
+	y.startControl()
+	for _, p := range y.entries {
+		p.start()
+	}
+	y.startFakes(s)
+	y.apply("counter", 0, "first", s.section)
+	y.await("a search that covers every shard on every entry host", func() bool {
+		for _, addr := range y.callers {
+			a, err := y.search(addr, `"ready"`, "bulk")
+			if err != nil || a.Coverage.Shards != uint32(s.shards) || len(a.Coverage.Missing) > 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return y
+}
+
+func freePorts(t *testing.T, n int) []netip.AddrPort {
+	t.Helper()
+	var ports []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return ports
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%d", i%3+1) }
+
+func (y *system) write(name string, v any) string {
+	y.t.Helper()
+	data, err := json.Marshal(v)
+	require.NoError(y.t, err)
+	path := filepath.Join(y.dir, name)
+	require.NoError(y.t, os.WriteFile(path, data, 0o644))
+	return path
+}
+
+func (y *system) process(name string, args ...string) *process {
+	return &process{t: y.t, name: name, args: args, log: filepath.Join(y.dir, name+".log")}
+}
+
+func (y *system) writeControl(listen []netip.AddrPort) {
+	var hosts []map[string]any
+	for i, addr := range y.inner {
+		hosts = append(hosts, map[string]any{"name": fmt.Sprintf("control-%d", i+1), "zone": zone(i), "address": addr})
+	}
+	for i, addr := range y.inner {
+		name := fmt.Sprintf("control-%d", i+1)
+		path := y.write(name+".json", map[string]any{
+			"name": name, "zone": zone(i), "listen": listen[i], "inner": addr, "data": filepath.Join(y.dir, name), "hosts": hosts,
+		})
+		y.control = append(y.control, y.process(name, program, "control", "--settings", path))
+	}
+}
+
+func (y *system) writeEntries(inner []netip.AddrPort) {
+	for i, addr := range y.callers {
+		name := fmt.Sprintf("entry-%d", i+1)
+		path := y.write(name+".json", map[string]any{
+			"name": name, "zone": zone(i), "listen": addr, "inner": inner[i], "control": y.inner, "drain": "300ms",
+		})
+		y.entries = append(y.entries, y.process(name, program, "entry", "--settings", path))
+	}
+}
+
+func (y *system) startControl() {
+	y.t.Helper()
+	for _, p := range y.control[1:] {
+		p.start()
+	}
+	form := []string{"form", "--settings", filepath.Join(y.dir, "control-1.json")}
+	y.await("forming the group", func() bool {
+		out, err := exec.Command(program, form...).CombinedOutput()
+		return err == nil || strings.Contains(string(out), "belongs to a group already")
+	})
+	y.control[0].start()
+}
+
+func (y *system) startFakes(s shape) {
+	for shard := range s.shards {
+		for replica := range s.replicas {
+			y.settings = append(y.settings, searcher.Settings{
+				Name: fmt.Sprintf("searcher-%d-%d", shard, replica), Zone: zone(replica), Listen: y.addrs[len(y.settings)],
+				Slots: 3, Connections: 30, Entries: y.callers, Behavior: s.behavior, Record: filepath.Join(y.dir, "orders"), Uptime: time.Minute,
+				Served: []searcher.Served{{Archive: "albums", Snapshot: "1", Count: uint32(s.shards), Shards: []uint32{uint32(shard)}}},
+			})
+		}
+	}
+	for _, s := range y.settings {
+		data, err := json.Marshal(s)
+		require.NoError(y.t, err)
+		p := y.process(s.Name, fakeProgram, string(data))
+		y.fakes = append(y.fakes, p)
+		p.start()
+	}
+}
+
+// stop ends every process that still runs and shows the logs of a failed test.
+func (y *system) stop() {
+	all := append(append(append([]*process{}, y.control...), y.entries...), y.fakes...)
+	for _, p := range all {
+		if p.cmd != nil {
+			p.kill()
+			if y.t.Failed() {
+				y.t.Logf("%s:\n%s", p.name, tail(p.output()))
+			}
+		}
+	}
+}
+
+func tail(s string) string {
+	const most = 4000
+	if len(s) > most {
+		return s[len(s)-most:]
+	}
+	return s
+}
+
+func (y *system) await(what string, f func() bool) time.Duration {
+	y.t.Helper()
+	start := time.Now()
+	for time.Since(start) < startTimeout {
+		if f() {
+			return time.Since(start)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	y.t.Fatalf("timed out waiting for %s", what)
+	return 0
+}
+
+// run runs the program to its end and returns its output and exit code.
+func (y *system) run(args ...string) (string, int) {
+	out, err := exec.Command(program, args...).CombinedOutput()
+	if err == nil {
+		return string(out), 0
+	}
+	if exit, ok := err.(*exec.ExitError); ok {
+		return string(out), exit.ExitCode()
+	}
+	return err.Error(), -1
+}
+
+func (y *system) controlFlag() string {
+	var list []string
+	for _, a := range y.inner {
+		list = append(list, a.String())
+	}
+	return strings.Join(list, ",")
+}
+
+func (y *system) apply(team string, version int, id, text string) {
+	y.t.Helper()
+	path := filepath.Join(y.dir, id+".section.json")
+	require.NoError(y.t, os.WriteFile(path, []byte(text), 0o644))
+	out, code := y.run("apply", "--control", y.controlFlag(), "--id", id, "--author", "test", "--replaces", fmt.Sprint(version), team, path)
+	require.Zero(y.t, code, out)
+}
+
+var client = &http.Client{Timeout: 10 * time.Second}
+
+// send posts a request once and decodes the answer.
+func send(addr netip.AddrPort, path string, header http.Header, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+addr.String()+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.GetBody = nil
+	for k, v := range header {
+		req.Header[k] = v
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return json.NewDecoder(res.Body).Decode(answer)
+}
+
+func (y *system) search(addr netip.AddrPort, query, lane string) (gateway.SearchAnswer, error) {
+	var a gateway.SearchAnswer
+	r := gateway.SearchRequest{ID: query, Archive: "albums", Lane: lane, Query: json.RawMessage(query)}
+	err := send(addr, "/v1/search", nil, r, &a)
+	return a, err
+}
+
+func (y *system) order(addr netip.AddrPort, key, body string) (gateway.OrderAnswer, error) {
+	var a gateway.OrderAnswer
+	r := gateway.OrderRequest{ID: key, Archive: "albums", Body: json.RawMessage(body)}
+	err := send(addr, "/v1/order", http.Header{gateway.KeyHeader: {key}}, r, &a)
+	return a, err
+}
+
+// executions returns how often each order was begun by any backend server.
+func (y *system) executions() map[string]int {
+	counts := map[string]int{}
+	data, _ := os.ReadFile(filepath.Join(y.dir, "orders"))
+	for line := range strings.SplitSeq(strings.TrimSpace(string(data)), "\n") {
+		counts[line]++
+	}
+	return counts
+}
+
+// parallel runs f n times at once and waits for all.
+func parallel(n int, f func(int)) *sync.WaitGroup {
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() { f(i) })
+	}
+	return &group
+}
--- a/test/fakes/searcher/handle.go
+++ b/test/fakes/searcher/handle.go
@@ -126,6 +126,9 @@
 	}
 	f.stats.Orders[q.Attempt]++
 	f.stats.Bodies[string(q.Body)]++
+	if f.record != nil {
+		_, _ = f.record.WriteString(string(q.Body) + "\n")
+	}
 }
 
 // work takes the time that the request needs and reports whether the caller
--- a/test/fakes/searcher/searcher.go
+++ b/test/fakes/searcher/searcher.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -35,6 +36,9 @@
 	Behavior Behavior         `json:"behavior"`
 	// Uptime is added to the announced uptime; a server that is old is warm.
 	Uptime time.Duration `json:"uptime"`
+	// Record is a file that gets a line for each order that the server begins
+	// to run, so that the count survives a kill. Empty means none.
+	Record string `json:"record"`
 	// OnCrash runs when a request crashes the server; the default panics the
 	// process away.
 	OnCrash func() `json:"-"`
@@ -64,6 +68,7 @@
 	listener    net.Listener
 	http        *http.Server
 	client      *http.Client
+	record      *os.File
 
 	mu       sync.Mutex
 	behavior Behavior
@@ -93,6 +98,12 @@
 		behavior:    s.Behavior,
 		served:      s.Served,
 	}
+	if s.Record != "" {
+		f.record, err = os.OpenFile(s.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return nil, errors.Wrap(err, "open record")
+		}
+	}
 	f.stats.Orders = map[string]int{}
 	f.stats.Bodies = map[string]int{}
 	f.stats.Incarnation = f.incarnation
@@ -208,7 +219,7 @@
 		"slots":       f.settings.Slots,
 		"connections": f.settings.Connections,
 		"load":        f.behavior.Load,
-		"started":     f.started.UTC().Format(time.RFC3339Nano),
+		"started":     time.Since(f.started).Round(time.Millisecond).String(),
 		"served":      slices.Clone(f.served),
 	}
 	f.target++
