Add the entry host's side of control

Cause: an entry host may act only on a current configuration and view, and has to find the leader again within its lease of 4 s. Change: subscriber syncs every 500 ms, counts the lease from when the request was sent, ignores older replies and renews no lease by a reply that lacks what is newer. A control host that was silent for 1 s is avoided for 2 s.

--- /dev/null
+++ b/internal/control/subscriber/subscriber_test.go
@@ -0,0 +1,482 @@
+package subscriber
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/timestamppb"
+	"pgregory.net/rapid"
+
+	"gentianpond/internal/guard/quarantiner"
+	"gentianpond/internal/order/recorder"
+	"gentianpond/internal/protocol/messenger"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	goleak.VerifyTestMain(m, goleak.Cleanup(os.Exit))
+}
+
+// fake is a control host with scripted answers. Each call takes the next step
+// of the script; the last step repeats.
+type fake struct {
+	messenger.ControlClient
+	mu     sync.Mutex
+	script []step
+	calls  []any
+	times  []time.Time
+}
+
+// step is one scripted answer: an error, silence, a redirect, no leader at
+// all, or an answer as the leader.
+type step struct {
+	err    error
+	silent bool
+	delay  time.Duration
+	leader string
+	grant  bool
+	reply  *messenger.SyncReply
+}
+
+func (f *fake) set(script ...step) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.script = script
+}
+
+func (f *fake) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.calls)
+}
+
+func (f *fake) take(ctx context.Context, request any) (step, error) {
+	f.mu.Lock()
+	s := f.script[0]
+	if len(f.script) > 1 {
+		f.script = f.script[1:]
+	}
+	f.calls = append(f.calls, request)
+	f.times = append(f.times, time.Now())
+	f.mu.Unlock()
+	if s.silent {
+		<-ctx.Done()
+		return s, ctx.Err()
+	}
+	if s.delay > 0 && !wait(ctx, s.delay) {
+		return s, ctx.Err()
+	}
+	return s, s.err
+}
+
+func (f *fake) Sync(ctx context.Context, r *messenger.SyncRequest, _ ...grpc.CallOption) (*messenger.SyncReply, error) {
+	s, err := f.take(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if s.reply != nil {
+		return s.reply, nil
+	}
+	return &messenger.SyncReply{Leader: s.leader, Granted: s.grant}, nil
+}
+
+func (f *fake) order(ctx context.Context, r any) (*messenger.OrderReply, error) {
+	s, err := f.take(ctx, r)
+	reply := &messenger.OrderReply{Leader: s.leader}
+	if s.grant {
+		reply.Verdict = uint32(recorder.VerdictGranted)
+	}
+	return reply, err
+}
+
+func (f *fake) Reserve(ctx context.Context, r *messenger.ReserveRequest, _ ...grpc.CallOption) (*messenger.OrderReply, error) {
+	return f.order(ctx, r)
+}
+
+func (f *fake) Complete(ctx context.Context, r *messenger.CompleteRequest, _ ...grpc.CallOption) (*messenger.OrderReply, error) {
+	return f.order(ctx, r)
+}
+
+func (f *fake) Suspect(ctx context.Context, r *messenger.SuspectRequest, _ ...grpc.CallOption) (*messenger.SuspectReply, error) {
+	s, err := f.take(ctx, r)
+	return &messenger.SuspectReply{Leader: s.leader, Granted: s.grant}, err
+}
+
+var errRefused = errors.New("connection refused")
+
+const (
+	addrA = "127.0.0.1:1"
+	addrB = "127.0.0.1:2"
+	addrC = "127.0.0.1:3"
+)
+
+// rig is a subscriber with three scripted control hosts.
+type rig struct {
+	*Subscriber
+	a, b, c *fake
+	expired []time.Time
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+func newRig() *rig {
+	r := &rig{a: &fake{}, b: &fake{}, c: &fake{}, done: make(chan error, 1)}
+	fakes := map[string]*fake{addrA: r.a, addrB: r.b, addrC: r.c}
+	var addresses []netip.AddrPort
+	for _, addr := range []string{addrA, addrB, addrC} {
+		fakes[addr].set(step{err: errRefused})
+		addresses = append(addresses, netip.MustParseAddrPort(addr))
+	}
+	r.Subscriber = New(Config{
+		Member:    Member{Name: "host", Incarnation: 5},
+		Addresses: addresses,
+		Expired:   func() { r.expired = append(r.expired, time.Now()) },
+		Connect: func(addr netip.AddrPort) (messenger.ControlClient, io.Closer, error) {
+			return fakes[addr.String()], nil, nil
+		},
+	})
+	return r
+}
+
+func (r *rig) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	r.cancel = cancel
+	go func() { r.done <- r.Run(ctx) }()
+}
+
+func (r *rig) stop(t *testing.T) {
+	r.cancel()
+	require.ErrorIs(t, <-r.done, context.Canceled)
+}
+
+func later(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// Guards against a lease that counts from the reply instead of the request,
+// and against a redirect that is not followed.
+func TestLeaseCountsFromRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		start := time.Now()
+		r.a.set(step{leader: addrB})
+		r.b.set(step{grant: true, delay: 300 * time.Millisecond}, step{silent: true})
+		r.start(t)
+		later(400 * time.Millisecond)
+		require.Equal(t, start.Add(Lease), r.State().Lease)
+		require.True(t, r.State().Holds(start.Add(Lease-1)))
+		require.False(t, r.State().Holds(start.Add(Lease)))
+		r.stop(t)
+	})
+}
+
+// Guards against a lease that is lost while a new leader is there: the old one
+// is silent, and the third host still names it.
+func TestSilentLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		r.a.set(step{grant: true}, step{silent: true})
+		r.b.set(step{leader: addrA}, step{leader: addrC})
+		r.c.set(step{}, step{grant: true})
+		r.start(t)
+		for range 20 {
+			later(500 * time.Millisecond)
+			require.True(t, r.State().Holds(time.Now()))
+		}
+		require.Empty(t, r.expired)
+		require.Greater(t, r.c.count(), 5)
+		r.stop(t)
+	})
+}
+
+// Guards against a host that goes on after its lease, is told twice, or never
+// recovers.
+func TestExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		start := time.Now()
+		r.a.set(step{grant: true}, step{grant: true}, step{err: errRefused})
+		r.start(t)
+		later(10 * time.Second)
+		require.Equal(t, []time.Time{start.Add(interval + Lease)}, r.expired)
+		calls := r.a.count() + r.b.count() + r.c.count()
+		// 3 calls in at least 250 ms.
+		require.Less(t, calls, 130, "no back-off")
+		r.c.set(step{grant: true}, step{err: errRefused})
+		later(lastDelay)
+		require.True(t, r.State().Holds(time.Now()))
+		later(5 * time.Second)
+		require.Len(t, r.expired, 2)
+		r.stop(t)
+	})
+}
+
+// Guards against an order whose repeated request names another attempt, or
+// stays with a host that is no leader any more.
+func TestOrdersFollowTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		r.a.set(step{silent: true}, step{err: errRefused})
+		r.b.set(step{}, step{leader: addrC})
+		r.c.set(step{leader: addrB}, step{grant: true})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		answer, err := r.Reserve(ctx, Intent{Key: "1-a", Attempt: "x", Fingerprint: 7, Retention: time.Hour})
+		require.NoError(t, err)
+		require.Equal(t, recorder.VerdictGranted, answer.Verdict)
+		var calls []any
+		for _, f := range []*fake{r.a, r.b, r.c} {
+			calls = append(calls, f.calls...)
+		}
+		require.Greater(t, len(calls), 4)
+		for _, call := range calls {
+			require.Same(t, calls[0], call)
+		}
+		_, err = r.Complete(ctx, Completion{Key: "1-a", Attempt: "x", Outcome: recorder.OutcomeRan})
+		require.NoError(t, err)
+	})
+}
+
+// Guards against a caller that waits longer than its deadline.
+func TestOrderUnavailable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 160*time.Millisecond)
+		defer cancel()
+		_, err := r.Reserve(ctx, Intent{Key: "1-a", Attempt: "x"})
+		require.ErrorIs(t, err, ErrUnavailable)
+		require.Equal(t, 160*time.Millisecond, time.Since(start))
+	})
+}
+
+// Guards against reports that are lost while there is no leader, repeated
+// under new ids, or queued without bound.
+func TestSuspects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		for i := range maxQueued + 10 {
+			require.Equal(t, i < maxQueued, r.Suspect(quarantiner.Observation{Fingerprint: uint64(i)}))
+		}
+		require.EqualValues(t, 10, r.Dropped())
+		r.start(t)
+		later(3 * time.Second)
+		r.c.set(step{grant: true})
+		later(3 * time.Second)
+		seen := map[string]uint64{}
+		for _, call := range r.c.calls {
+			request, ok := call.(*messenger.SuspectRequest)
+			if !ok {
+				continue
+			}
+			require.LessOrEqual(t, len(request.Observations), maxBatch)
+			for _, o := range request.Observations {
+				if f, ok := seen[o.Id]; ok {
+					require.Equal(t, f, o.Fingerprint)
+				}
+				seen[o.Id] = o.Fingerprint
+			}
+		}
+		require.Len(t, seen, maxQueued)
+		require.True(t, r.Suspect(quarantiner.Observation{ID: "mine"}))
+		later(time.Second)
+		last := r.c.calls
+		require.Condition(t, func() bool {
+			for _, call := range last {
+				if s, ok := call.(*messenger.SuspectRequest); ok && s.Observations[0].Id == "mine" {
+					return true
+				}
+			}
+			return false
+		})
+		r.stop(t)
+	})
+}
+
+// Guards against a stopping host that renews its lease or comes back into the
+// view by a sync request that was in flight.
+func TestLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		r.a.set(step{grant: true}, step{grant: true, delay: 200 * time.Millisecond})
+		r.start(t)
+		later(600 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		require.NoError(t, r.Leave(ctx))
+		require.False(t, r.State().Holds(time.Now()))
+		calls := r.a.count()
+		require.True(t, r.a.calls[calls-1].(*messenger.SyncRequest).Leaving)
+		later(10 * time.Second)
+		require.Equal(t, calls, r.a.count(), "synced after it left")
+		require.False(t, r.State().Holds(time.Now()))
+		r.stop(t)
+	})
+}
+
+// Guards against the new lease being usable before the host acts on the new
+// state.
+func TestChangedBeforeLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig()
+		var held []bool
+		var revisions []uint64
+		r.config.Changed = func(s State) {
+			held = append(held, s.Holds(time.Now()), r.State().Holds(time.Now()))
+			revisions = append(revisions, s.Revision, r.State().Revision)
+		}
+		r.a.set(step{reply: &messenger.SyncReply{Granted: true, Revision: 3, Document: []byte("{}")}})
+		r.start(t)
+		later(5 * time.Second)
+		require.Equal(t, []bool{false, false}, held)
+		require.Equal(t, []uint64{3, 3}, revisions)
+		r.stop(t)
+	})
+}
+
+// Guards against replies that turn the state back, or that renew the lease
+// without bringing the host up to date. Script: testdata/merge.
+func TestMerge(t *testing.T) {
+	var s *Subscriber
+	base := time.Unix(1_800_000_000, 0)
+	datadriven.RunTest(t, "testdata/merge", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "new" {
+			s = New(Config{})
+			return ""
+		}
+		var sent, revision, view, quarantine int
+		var document string
+		d.MaybeScanArgs(t, "sent", &sent)
+		d.MaybeScanArgs(t, "revision", &revision)
+		d.MaybeScanArgs(t, "view", &view)
+		d.MaybeScanArgs(t, "quarantine", &quarantine)
+		d.MaybeScanArgs(t, "document", &document)
+		reply := &messenger.SyncReply{
+			Revision: uint64(revision), Document: []byte(document), View: &messenger.View{Number: uint64(view)},
+			Quarantine: uint64(quarantine), SuspectsSet: d.HasArg("suspects"), Settled: d.HasArg("settled"),
+		}
+		at := base.Add(time.Duration(sent) * time.Second)
+		err := s.adopt(reply, at, at)
+		state := s.State()
+		out := fmt.Sprintf("revision=%d document=%s view=%d settled=%t quarantine=%d", state.Revision, state.Document,
+			state.View.Number, state.Settled, state.QuarantineRevision)
+		if !state.Lease.IsZero() {
+			out += fmt.Sprintf(" lease=%d", int(state.Lease.Sub(base).Seconds()))
+		}
+		if err != nil {
+			out += "\n" + err.Error()
+		}
+		return out + "\n"
+	})
+}
+
+// Guards against a revision that goes back or a document of another revision,
+// for any order of replies.
+func TestRevisionNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Config{})
+		now := time.Unix(1_800_000_000, 0)
+		for range rapid.IntRange(1, 20).Draw(t, "replies") {
+			revision := rapid.Uint64Range(0, 6).Draw(t, "revision")
+			reply := &messenger.SyncReply{Revision: revision, View: &messenger.View{Number: rapid.Uint64Range(0, 3).Draw(t, "view")}}
+			if rapid.Bool().Draw(t, "with document") {
+				reply.Document = fmt.Append(nil, revision)
+			}
+			now = now.Add(time.Second)
+			before := s.State()
+			err := s.adopt(reply, now, now)
+			after := s.State()
+			require.GreaterOrEqual(t, after.Revision, before.Revision)
+			require.GreaterOrEqual(t, after.View.Number, before.View.Number)
+			if after.Revision > 0 {
+				require.Equal(t, fmt.Sprint(after.Revision), string(after.Document))
+			}
+			renewed := after.Lease.After(before.Lease)
+			require.Equal(t, err == nil, renewed)
+			if renewed {
+				require.Equal(t, revision, after.Revision, "lease on a state that is not current")
+			}
+		}
+	})
+}
+
+// Guards against suspicions that last too long or too short on a host whose
+// clock differs from the leader's.
+func TestQuarantineClock(t *testing.T) {
+	book := quarantiner.New(quarantiner.Limits{})
+	leader := time.Unix(1_800_000_000, 0)
+	book.Observe(leader, quarantiner.Observation{ID: "1", Fingerprint: 7, Archive: "orders", Crashed: true})
+	local := leader.Add(-time.Hour)
+	var reply messenger.SyncReply
+	reply.Time = timestamppb.New(leader)
+	for _, s := range book.Suspicions() {
+		reply.Suspects = append(reply.Suspects, &messenger.Suspicion{Fingerprint: s.Fingerprint, State: uint32(s.State), Expiry: timestamppb.New(s.Expiry)})
+	}
+	for _, a := range book.Alerts() {
+		reply.Alerts = append(reply.Alerts, &messenger.Alert{Archive: a.Archive, Crash: timestamppb.New(a.Crash)})
+	}
+	list := quarantineOf(&reply, local)
+	require.Equal(t, quarantiner.VerdictAlone, list.Verdict(7, local.Add(quarantiner.Window-1)))
+	require.Equal(t, quarantiner.VerdictRun, list.Verdict(7, local.Add(quarantiner.Window)))
+	require.True(t, list.Alert("orders", local.Add(quarantiner.Window-1)))
+	require.False(t, list.Alert("orders", local.Add(quarantiner.Window)))
+}
+
+// server serves a fake over grpc.
+type server struct {
+	messenger.UnimplementedControlServer
+	fake *fake
+}
+
+func (s server) Sync(ctx context.Context, r *messenger.SyncRequest) (*messenger.SyncReply, error) {
+	return s.fake.Sync(ctx, r)
+}
+
+// Guards against a subscriber that works with the fake only.
+func TestOverGRPC(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fake{}
+	f.set(step{reply: &messenger.SyncReply{Granted: true, Revision: 1, Document: []byte("{}")}})
+	g := messenger.NewServer()
+	messenger.RegisterControlServer(g, server{fake: f})
+	served := make(chan error, 1)
+	go func() { served <- g.Serve(listener) }()
+	changed := make(chan State, 1)
+	s := New(Config{
+		Member:    Member{Name: "host", Address: netip.MustParseAddrPort(addrA)},
+		Addresses: []netip.AddrPort{listener.Addr().(*net.TCPAddr).AddrPort()},
+		Changed:   func(s State) { changed <- s },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	require.EqualValues(t, 1, (<-changed).Revision)
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+	g.Stop()
+	require.NoError(t, <-served)
+}
