Keep the slots of an overloaded server on work that is in time

Cause: with an estimate at the short end of the service times, a simulated server of 3 slots at 2 to 4 times its capacity spent up to a third of its slots on requests that missed their deadline of 160 ms.

--- a/internal/search/limiter/limiter.go
+++ b/internal/search/limiter/limiter.go
@@ -200,9 +200,9 @@
 // wait is a low estimate of how long a new ticket would wait: the requests
 // ahead of it, spread over all slots.
 func (l *Limiter) wait(now time.Time, t Ticket) time.Duration {
-	ahead := time.Duration(l.queues[Interactive].Len()) * l.service[Interactive].estimate(now)
+	ahead := time.Duration(l.queues[Interactive].Len()) * l.service[Interactive].average(now)
 	if t.Lane == Bulk {
-		ahead += time.Duration(l.queues[Bulk].Len()) * l.service[Bulk].estimate(now)
+		ahead += time.Duration(l.queues[Bulk].Len()) * l.service[Bulk].average(now)
 	}
 	return ahead / time.Duration(l.slots)
 }
