--- a/internal/fleet/tracker/flaps.go
+++ b/internal/fleet/tracker/flaps.go
@@ -13,50 +13,52 @@
 	holdMost  = 60 * time.Second
 )
 
-// flaps counts the restarts and losses of one server.
+// flaps counts the restarts and losses of one server. The zero value has
+// seen none.
 type flaps struct {
-	// times of the flaps in the window, oldest first.
+	// times of the flaps in the window, at most flapLimit+1.
 	times []time.Time
-	// pending is true after a loss until the next incarnation, so that a
-	// crash seen as a loss and then as a restart counts once.
+	// pending is true after a loss until the server returns, so that a crash
+	// seen as a loss and then as a restart counts once.
 	pending bool
-	delay   time.Duration
-	until   time.Time
+	// delay is the next time to hold the server back, zero below the limit.
+	delay time.Duration
 }
 
 // lost counts a loss at the time now.
 func (f *flaps) lost(now time.Time) {
-	f.add(now)
+	f.count(now)
 	f.pending = true
 }
 
-// restarted counts a new incarnation at the time now.
-func (f *flaps) restarted(now time.Time) {
-	if f.pending {
-		f.pending = false
-		return
+// returned takes the return of a server at the time now and counts it if it is
+// a new incarnation whose loss was not counted. It returns how long the server
+// is to be held back.
+func (f *flaps) returned(now time.Time, restarted bool) time.Duration {
+	if restarted && !f.pending {
+		f.count(now)
+	}
+	f.pending = false
+	f.forget(now)
+	if len(f.times) <= flapLimit {
+		return 0
 	}
-	f.add(now)
+	return f.delay
 }
 
-func (f *flaps) add(now time.Time) {
+func (f *flaps) count(now time.Time) {
 	f.forget(now)
-	if len(f.times) == 0 {
-		f.delay = 0
-	}
 	f.times = append(f.times, now)
 	if len(f.times) <= flapLimit {
 		return
 	}
-	// The limit is all that is compared, so older times need not be kept.
+	// Only the comparison with the limit matters, so older times are dropped.
 	f.times = f.times[len(f.times)-flapLimit-1:]
 	f.delay = min(max(2*f.delay, holdLeast), holdMost)
-	if until := now.Add(f.delay); until.After(f.until) {
-		f.until = until
-	}
 }
 
-// forget drops the flaps that left the window.
+// forget drops the flaps that left the window. The delay starts again from
+// holdLeast once the window is empty.
 func (f *flaps) forget(now time.Time) {
 	kept := f.times[:0]
 	for _, at := range f.times {
@@ -65,4 +67,7 @@
 		}
 	}
 	f.times = kept
+	if len(f.times) == 0 {
+		f.delay = 0
+	}
 }
--- a/internal/fleet/tracker/json.go
+++ b/internal/fleet/tracker/json.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
+	"net/netip"
 	"time"
 
 	"gentianpond/internal/settings/scanner"
+	"gentianpond/internal/value/container"
 )
 
 // MaxBody is the greatest size in bytes of the body of POST /v1/announce.
@@ -58,13 +61,18 @@
 }
 
 // ParseJSON reads the body of POST /v1/announce. Unknown, repeated and
-// missing fields and wrong types are faults. The error lists all faults; it
-// is a *scanner.Error for faults of form and an *InvalidError for faults of
-// content, and errors.Is reports scanner.ErrInvalid or ErrInvalid.
+// missing fields, wrong types and values out of range are faults. The error is
+// a *scanner.Error that lists all of them with line and column, and errors.Is
+// reports ErrInvalid.
 //
 // The field started states how long ago the process started, such as "12s",
 // so that the clocks of server and host need not agree.
 func ParseJSON(body []byte) (Announcement, error) {
+	if len(body) > MaxBody {
+		return Announcement{}, &InvalidError{Faults: []string{
+			fmt.Sprintf("the body has %d bytes, more than %d", len(body), MaxBody),
+		}}
+	}
 	s, root := scanner.ParseStandard("", body)
 	var a Announcement
 	o, ok := root.Object("server", "address", "zone", "incarnation", "sequence", "draining",
@@ -87,7 +95,7 @@
 		a.Server, _ = n.Name()
 	}
 	if n, ok := o.Need("address"); ok {
-		a.Address, _ = n.Address()
+		a.Address = parseAddress(n)
 	}
 	if n, ok := o.Need("zone"); ok {
 		a.Zone, _ = n.Name()
@@ -107,7 +115,7 @@
 	if n, ok := o.Need("connections"); ok {
 		a.Connections = whole(n, 1, maxConnections)
 	}
-	if n, ok := o.Field("load"); ok {
+	if n, ok := o.Need("load"); ok {
 		a.Load, _ = n.Float(0, 1)
 	}
 	if n, ok := o.Need("started"); ok {
@@ -124,15 +132,33 @@
 	return int(v)
 }
 
+// parseAddress reads an address that hosts can connect to.
+func parseAddress(n scanner.Node) netip.AddrPort {
+	a, ok := n.Address()
+	if ok && !reachable(a) {
+		n.Fault("%s is not the address of a host", a)
+	}
+	return a
+}
+
 func parseServed(n scanner.Node) []Served {
 	nodes, _ := n.Array()
+	if len(nodes) > maxServed {
+		n.Fault("%d snapshots are served, more than %d", len(nodes), maxServed)
+	}
+	type key struct{ archive, snapshot string }
+	var seen container.Set[key]
 	var list []Served
 	for _, n := range nodes {
 		o, ok := n.Object("archive", "snapshot", "count", "shards", "lanes")
 		if !ok {
 			continue
 		}
-		list = append(list, parseOneServed(o))
+		s := parseOneServed(o)
+		if s.Archive != "" && !seen.Add(key{s.Archive, s.Snapshot}) {
+			n.Fault("archive %q snapshot %q is listed twice", s.Archive, s.Snapshot)
+		}
+		list = append(list, s)
 	}
 	return list
 }
@@ -149,17 +175,55 @@
 		s.Count = whole(n, 1, maxCount)
 	}
 	if n, ok := o.Need("shards"); ok {
-		nodes, _ := n.Array()
-		for _, n := range nodes {
-			s.Shards = append(s.Shards, whole(n, 0, maxCount-1))
-		}
+		s.Shards = parseShards(n, s.Count)
 	}
 	if n, ok := o.Field("lanes"); ok {
-		nodes, _ := n.Array()
-		for _, n := range nodes {
-			lane, _ := n.String()
-			s.Lanes = append(s.Lanes, lane)
-		}
+		s.Lanes = parseLanes(n)
 	}
 	return s
 }
+
+// parseShards reads the shards of a snapshot of count shards; count is 0 if
+// it could not be read.
+func parseShards(n scanner.Node, count int) []int {
+	nodes, ok := n.Array()
+	if ok && len(nodes) == 0 {
+		n.Fault("no shards are listed")
+	}
+	var seen container.Set[uint64]
+	var list []int
+	for _, n := range nodes {
+		shard, ok := n.Uint(0, maxCount-1)
+		if !ok {
+			continue
+		}
+		if count > 0 && shard >= uint64(count) {
+			n.Fault("shard %d is not less than count %d", shard, count)
+		}
+		if !seen.Add(shard) {
+			n.Fault("shard %d is listed twice", shard)
+		}
+		list = append(list, int(shard))
+	}
+	return list
+}
+
+func parseLanes(n scanner.Node) []string {
+	nodes, _ := n.Array()
+	var seen container.Set[string]
+	var list []string
+	for _, n := range nodes {
+		lane, ok := n.String()
+		if !ok {
+			continue
+		}
+		if !knownLane(lane) {
+			n.Fault("lane %q is not %q or %q", lane, LaneInteractive, LaneBulk)
+		}
+		if !seen.Add(lane) {
+			n.Fault("lane %q is listed twice", lane)
+		}
+		list = append(list, lane)
+	}
+	return list
+}
--- a/internal/fleet/tracker/validate.go
+++ b/internal/fleet/tracker/validate.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"strings"
 
-	"github.com/go-faster/errors"
-
+	"gentianpond/internal/protocol/messenger"
 	"gentianpond/internal/settings/scanner"
 )
 
@@ -17,12 +17,13 @@
 	maxConnections = 65535
 	maxServed      = 64
 	maxCount       = 1 << 20
-	maxShards      = 4096
+	// maxShards bounds the shards of all snapshots together.
+	maxShards = 8192
 )
 
 // ErrInvalid is the sentinel for announcements that break a rule of the
 // format.
-var ErrInvalid = errors.New("announcement is invalid")
+var ErrInvalid = scanner.ErrInvalid
 
 // InvalidError lists all faults of an announcement. errors.Is reports true
 // for ErrInvalid.
@@ -32,7 +33,7 @@
 
 // Error returns all faults in one line.
 func (e *InvalidError) Error() string {
-	return ErrInvalid.Error() + ": " + strings.Join(e.Faults, "; ")
+	return "announcement is invalid: " + strings.Join(e.Faults, "; ")
 }
 
 // Unwrap returns ErrInvalid.
@@ -48,7 +49,7 @@
 	if !scanner.ValidName(a.Server) {
 		e.add("server %q is not a name", a.Server)
 	}
-	if !a.Address.IsValid() || a.Address.Port() == 0 || a.Address.Addr().IsUnspecified() {
+	if !reachable(a.Address) {
 		e.add("address %q is not IP:port of a host", a.Address)
 	}
 	if !scanner.ValidName(a.Zone) {
@@ -69,8 +70,8 @@
 	if math.IsNaN(a.Load) || a.Load < 0 || a.Load > 1 {
 		e.add("load %v is not from 0 to 1", a.Load)
 	}
-	if a.Uptime < 0 {
-		e.add("uptime %s is negative", a.Uptime)
+	if a.Uptime < 0 || a.Uptime > maxUptime {
+		e.add("uptime %s is not from 0 to %s", a.Uptime, maxUptime)
 	}
 	a.validateServed(&e)
 	if len(e.Faults) > 0 {
@@ -79,6 +80,15 @@
 	return nil
 }
 
+// reachable reports whether a host can connect to a.
+func reachable(a netip.AddrPort) bool {
+	return a.IsValid() && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
+func knownLane(lane string) bool {
+	return lane == LaneInteractive || lane == LaneBulk
+}
+
 func (a Announcement) validateServed(e *InvalidError) {
 	if len(a.Served) > maxServed {
 		e.add("%d snapshots are served, more than %d", len(a.Served), maxServed)
@@ -86,6 +96,14 @@
 	}
 	type key struct{ archive, snapshot string }
 	seen := map[key]bool{}
+	total := 0
+	for _, s := range a.Served {
+		total += len(s.Shards)
+	}
+	if total > maxShards {
+		e.add("%d shards are listed, more than %d", total, maxShards)
+		return
+	}
 	for _, s := range a.Served {
 		k := key{s.Archive, s.Snapshot}
 		if seen[k] {
@@ -107,8 +125,8 @@
 	if s.Count < 1 || s.Count > maxCount {
 		e.add("%s: count %d is not from 1 to %d", where, s.Count, maxCount)
 	}
-	if len(s.Shards) == 0 || len(s.Shards) > maxShards {
-		e.add("%s: %d shards are listed, not 1 to %d", where, len(s.Shards), maxShards)
+	if len(s.Shards) == 0 {
+		e.add("%s: no shards are listed", where)
 	}
 	shards := map[int]bool{}
 	for _, shard := range s.Shards {
@@ -122,7 +140,7 @@
 	}
 	lanes := map[string]bool{}
 	for _, lane := range s.Lanes {
-		if lane != LaneInteractive && lane != LaneBulk {
+		if !knownLane(lane) {
 			e.add("%s: lane %q is not %q or %q", where, lane, LaneInteractive, LaneBulk)
 		}
 		if lanes[lane] {
@@ -131,3 +149,21 @@
 		lanes[lane] = true
 	}
 }
+
+// validShort checks a message in the short form.
+func validShort(m *messenger.Announcement) error {
+	var e InvalidError
+	if !scanner.ValidName(m.GetServer()) {
+		e.add("server %q is not a name", m.GetServer())
+	}
+	if m.GetIncarnation() == 0 || m.GetSequence() == 0 {
+		e.add("incarnation or sequence of %q is 0", m.GetServer())
+	}
+	if math.IsNaN(m.GetLoad()) || m.GetLoad() < 0 || m.GetLoad() > 1 {
+		e.add("load %v of %q is not from 0 to 1", m.GetLoad(), m.GetServer())
+	}
+	if len(e.Faults) > 0 {
+		return &e
+	}
+	return nil
+}
