--- /dev/null
+++ b/internal/control/journaler/disk.go
@@ -0,0 +1,125 @@
+package journaler
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/go-faster/errors"
+)
+
+// ErrLocked reports that another process uses the data folder.
+var ErrLocked = errors.New("data folder is in use by another process")
+
+// Disk is what the journal needs of a file system.
+type Disk interface {
+	// MakeFolder creates a folder and its parents unless they exist.
+	MakeFolder(path string) error
+	// List returns the names of the files in a folder.
+	List(folder string) ([]string, error)
+	// Create makes an empty file, replacing an old one.
+	Create(path string) (File, error)
+	// Open opens an existing file for reading and writing.
+	Open(path string) (File, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncFolder makes created, renamed and removed names in a folder durable.
+	SyncFolder(path string) error
+	// Lock takes the lock file at path, or fails with ErrLocked.
+	Lock(path string) (io.Closer, error)
+}
+
+// File is an open file. Written data is durable only after Sync.
+type File interface {
+	io.WriterAt
+	io.Closer
+	ReadAll() ([]byte, error)
+	Truncate(size int64) error
+	Sync() error
+}
+
+// System is the disk of the operating system.
+type System struct{}
+
+type systemFile struct{ *os.File }
+
+// ReadAll reads the whole file.
+func (f systemFile) ReadAll() ([]byte, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return nil, err
+	}
+	data := make([]byte, info.Size())
+	n, err := f.ReadAt(data, 0)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return data[:n], err
+}
+
+// MakeFolder creates a folder and its parents.
+func (System) MakeFolder(path string) error { return os.MkdirAll(path, 0o755) }
+
+// List returns the names of the files in a folder.
+func (System) List(folder string) ([]string, error) {
+	items, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(items))
+	for _, item := range items {
+		names = append(names, item.Name())
+	}
+	return names, nil
+}
+
+// Create makes an empty file.
+func (System) Create(path string) (File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	return systemFile{f}, nil
+}
+
+// Open opens an existing file.
+func (System) Open(path string) (File, error) {
+	f, err := os.OpenFile(path, os.O_RDWR, 0)
+	if err != nil {
+		return nil, err
+	}
+	return systemFile{f}, nil
+}
+
+// Rename gives a file another name.
+func (System) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove deletes a file.
+func (System) Remove(path string) error { return os.Remove(path) }
+
+// SyncFolder makes the names in a folder durable.
+func (System) SyncFolder(path string) error {
+	f, err := os.Open(filepath.Clean(path))
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// Lock takes an flock on the file at path. It ends with the process.
+func (System) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = fmt.Errorf("%w: %s", ErrLocked, path)
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
