--- a/internal/control/journaler/journal.go
+++ b/internal/control/journaler/journal.go
@@ -398,14 +398,21 @@
 	return errors.Wrap(err, "write")
 }
 
-// Compact drops the records below first that the snapshot covers and frees
-// their room on disk. When there is no room for the remaining state it fails
-// with ErrFull and the journal goes on as before.
-func (j *Journal) Compact(first uint64) error {
+// Compact makes s the snapshot, drops the records that it covers and frees
+// their room on disk; it writes s only once. When there is no room it fails
+// with ErrFull and the journal goes on as before. ErrSequence means that s is
+// older than the present snapshot.
+func (j *Journal) Compact(s Snapshot) error {
 	if j.failure != nil {
 		return errors.Wrap(j.failure, "compact")
 	}
-	state := j.state.compact(first)
+	b := Batch{Snapshot: &s}
+	if err := j.state.check(b); err != nil {
+		return errors.Wrap(err, "compact")
+	}
+	state := j.state
+	state.apply(b)
+	state.compact()
 	old, sequence := j.file, j.sequence
 	if err := j.start(sequence+1, &state); err != nil {
 		return errors.Wrap(err, "compact")
--- a/internal/control/journaler/journal_test.go
+++ b/internal/control/journaler/journal_test.go
@@ -85,11 +85,8 @@
 	}
 	next := copyOf(m.acked)
 	if rapid.IntRange(0, 5).Draw(t, "snapshot") == 0 {
-		b.Snapshot = &Snapshot{
-			Index: rapid.Uint64Range(m.acked.Snapshot.Index, m.acked.Last()+3).Draw(t, "index"),
-			Term:  rapid.Uint64Range(1, 2).Draw(t, "snapshot term"),
-			Data:  payload(t),
-		}
+		snapshot := m.snapshot()
+		b.Snapshot = &snapshot
 		next.apply(Batch{Snapshot: b.Snapshot})
 	}
 	first := next.Snapshot.Index + 1
@@ -137,9 +134,19 @@
 }
 
 func (m *model) compact() {
-	first := rapid.Uint64Range(0, m.acked.Last()+2).Draw(m.t, "compact")
-	next := m.acked.compact(first)
-	m.done(next, m.journal.Compact(first))
+	snapshot := m.snapshot()
+	next := copyOf(m.acked)
+	next.apply(Batch{Snapshot: &snapshot})
+	next.compact()
+	m.done(next, m.journal.Compact(snapshot))
+}
+
+func (m *model) snapshot() Snapshot {
+	return Snapshot{
+		Index: rapid.Uint64Range(m.acked.Snapshot.Index, m.acked.Last()+3).Draw(m.t, "index"),
+		Term:  rapid.Uint64Range(1, 2).Draw(m.t, "snapshot term"),
+		Data:  payload(m.t),
+	}
 }
 
 // act performs one random action.
@@ -276,7 +283,7 @@
 	require.ErrorIs(t, j.Save(Batch{Records: records(1, 1)}), ErrFailed)
 	syncs := d.syncs
 	require.ErrorIs(t, j.Save(Batch{Records: records(1, 1)}), ErrFailed)
-	require.ErrorIs(t, j.Compact(1), ErrFailed)
+	require.ErrorIs(t, j.Compact(Snapshot{}), ErrFailed)
 	require.Equal(t, syncs, d.syncs, "the sync was retried")
 }
 
@@ -285,7 +292,7 @@
 	d, j := openFake(t)
 	require.NoError(t, j.Save(Batch{Records: records(1, 3)}))
 	d.room = 700
-	require.ErrorIs(t, j.Compact(1), ErrFull)
+	require.ErrorIs(t, j.Compact(Snapshot{Index: 1, Term: 1, Data: make([]byte, 1000)}), ErrFull)
 	d.room = 700
 	require.ErrorIs(t, j.Save(Batch{Records: records(4, 30)}), ErrFull)
 	require.ErrorIs(t, j.Save(Batch{Records: records(4, 1)}), ErrFull)
@@ -304,6 +311,8 @@
 	require.ErrorIs(t, j.Save(Batch{Records: records(5, 1)}), ErrSequence)
 	require.ErrorIs(t, j.Save(Batch{Records: records(0, 1)}), ErrSequence)
 	require.NoError(t, j.Save(Batch{Records: records(4, 1)}))
+	require.NoError(t, j.Compact(Snapshot{Index: 2, Term: 1}))
+	require.ErrorIs(t, j.Compact(Snapshot{Index: 1, Term: 1}), ErrSequence)
 }
 
 // Guards against two processes writing one folder, a second identity for a
@@ -336,7 +345,7 @@
 	require.NoError(t, err)
 	require.Len(t, state.Records, 3)
 	require.Equal(t, HardState{Term: 1, Vote: 2, Commit: 3}, state.Hard)
-	require.NoError(t, j.Compact(1))
+	require.NoError(t, j.Compact(Snapshot{}))
 	require.Positive(t, j.Size())
 	require.NoError(t, j.Close())
 	require.NoError(t, os.WriteFile(filepath.Join(a, segmentName(1)), foreign, 0o600))
--- a/internal/control/journaler/state.go
+++ b/internal/control/journaler/state.go
@@ -136,15 +136,11 @@
 	return s.Records[index-s.Records[0].Index].Term == term
 }
 
-// compact returns the state without the records below first. Records after
-// the snapshot stay, whatever first is.
-func (s *State) compact(first uint64) State {
-	t := *s
-	first = min(first, s.Snapshot.Index+1)
+// compact drops the records that the snapshot covers.
+func (s *State) compact() {
 	drop := 0
-	for drop < len(s.Records) && s.Records[drop].Index < first {
+	for drop < len(s.Records) && s.Records[drop].Index <= s.Snapshot.Index {
 		drop++
 	}
-	t.Records = slices.Clone(s.Records[drop:])
-	return t
+	s.Records = slices.Clone(s.Records[drop:])
 }
