Fix the metrics page and the printing of answers

Cause: tally's own cardinality metrics have names that Prometheus refuses, and errors.Wrap of a nil error is an error. Change: leave those metrics out, return the encoder's error as it is.

--- a/cmd/gentianpond/demo.go
+++ b/cmd/gentianpond/demo.go
@@ -181,8 +181,9 @@
 // search repeats one search until it covers every shard: backend servers and
 // configuration take a moment to be known.
 func (d *demo) search(ctx context.Context, entry string) error {
-	var a gateway.SearchAnswer
+	var last gateway.SearchAnswer
 	for ctx.Err() == nil {
+		var a gateway.SearchAnswer
 		r := gateway.SearchRequest{ID: "demo-search", Archive: demoArchive, Query: []byte(`"wedding"`)}
 		if err := post(ctx, entry, "/v1/search", nil, r, &a); err != nil {
 			return err
@@ -191,9 +192,10 @@
 			fmt.Println("search:")
 			return printJSON(a)
 		}
+		last = a
 		time.Sleep(100 * time.Millisecond)
 	}
-	return errors.Errorf("no complete answer in time; the last one was %q: %s", a.Outcome, a.Reason)
+	return errors.Errorf("no complete answer in time; the last one was %q: %s", last.Outcome, last.Reason)
 }
 
 func (d *demo) order(ctx context.Context, entry string) error {
--- a/cmd/gentianpond/search.go
+++ b/cmd/gentianpond/search.go
@@ -100,5 +100,5 @@
 func printJSON(v any) error {
 	e := json.NewEncoder(os.Stdout)
 	e.SetIndent("", "  ")
-	return errors.Wrap(e.Encode(v), "print")
+	return e.Encode(v)
 }
--- a/internal/observe/reporter/reporter.go
+++ b/internal/observe/reporter/reporter.go
@@ -38,6 +38,9 @@
 		Prefix:         "gentianpond",
 		CachedReporter: r,
 		Separator:      prometheus.DefaultSeparator,
+		// Prometheus refuses names with dots.
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, interval)
 	return &Metrics{Scope: scope, Page: r.HTTPHandler(), closer: closer}
 }
