--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -62,6 +62,7 @@
 	// this host, so that a call that grpc resent is not run twice.
 	proven      *container.Recent[uint64]
 	arrivals    *container.Recent[string]
+	suspicions  suspicions
 	server      *http.Server
 	inner       *grpc.Server
 	listener    net.Listener
--- a/internal/host/gateway/http.go
+++ b/internal/host/gateway/http.go
@@ -128,7 +128,7 @@
 // guard applies the quarantine.
 func (g *Gateway) guard(now time.Time, archive string, a *admission) *refusal {
 	list := g.control.State().Quarantine
-	switch list.Verdict(a.fingerprint, now) {
+	switch g.verdict(now, a.fingerprint) {
 	case quarantiner.VerdictRefuse:
 		return refuse(CodeQuarantined, "this request crashed backend servers and is quarantined")
 	case quarantiner.VerdictAlone:
@@ -143,6 +143,11 @@
 	return nil
 }
 
+// verdict is the stricter of what the control hosts and this host know.
+func (g *Gateway) verdict(now time.Time, fingerprint uint64) quarantiner.Verdict {
+	return max(g.control.State().Quarantine.Verdict(fingerprint, now), g.suspicions.verdict(now, fingerprint))
+}
+
 func timeLimit(settings checker.Archive, text string) (time.Duration, *refusal) {
 	if text == "" {
 		return settings.Deadline, nil
--- a/internal/host/gateway/orders.go
+++ b/internal/host/gateway/orders.go
@@ -60,7 +60,7 @@
 	if !g.arrivals.Add(r.GetAttempt()) {
 		return caller.Result{Status: caller.Failed, Err: errors.New("this attempt was received before")}
 	}
-	return g.dispatcher.Do(ctx, dispatcher.Request{
+	return g.do(ctx, dispatcher.Request{
 		Server: r.GetServer(), Incarnation: r.GetIncarnation(), Path: caller.OrderPath, Lane: limiter.Interactive, Alone: r.GetAlone(),
 		Deadline: time.Now().Add(r.GetDeadline().AsDuration()), Fingerprint: r.GetFingerprint(),
 		Message: caller.Message{
--- a/internal/host/gateway/scan.go
+++ b/internal/host/gateway/scan.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"gentianpond/internal/fleet/assigner"
+	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/protocol/messenger"
 	"gentianpond/internal/search/caller"
 	"gentianpond/internal/search/dispatcher"
@@ -66,7 +67,7 @@
 }
 
 func (g *Gateway) subrequest(ctx context.Context, r *messenger.ScanRequest, s *messenger.Subrequest, deadline time.Time) *messenger.ScanReply {
-	result := g.dispatcher.Do(ctx, dispatcher.Request{
+	result := g.do(ctx, dispatcher.Request{
 		Server: s.GetServer(), Incarnation: s.GetIncarnation(), Path: caller.SearchPath, Lane: laneOf(r.GetLane()), Alone: s.GetAlone(),
 		Deadline: deadline, Fingerprint: r.GetFingerprint(),
 		Message: caller.Message{
@@ -80,6 +81,16 @@
 	}
 }
 
+// do sends a request to a backend server that this host owns, unless it is
+// known here to crash servers: the root may not know of it yet.
+func (g *Gateway) do(ctx context.Context, r dispatcher.Request) caller.Result {
+	verdict := g.verdict(time.Now(), r.Fingerprint)
+	if verdict == quarantiner.VerdictRefuse || verdict == quarantiner.VerdictAlone && !r.Alone {
+		return caller.Result{Status: caller.Refused, Err: errors.New("the request is suspected of crashing backend servers")}
+	}
+	return g.dispatcher.Do(ctx, r)
+}
+
 func laneOf(name string) limiter.Lane {
 	if name == Bulk {
 		return limiter.Bulk
--- a/internal/search/coordinator/coordinator.go
+++ b/internal/search/coordinator/coordinator.go
@@ -109,7 +109,6 @@
 	}
 }
 
-// Directory returns the current directory.
 // pick returns a random number below n.
 func (c *Coordinator) pick(n int) int {
 	c.mu.Lock()
@@ -117,6 +116,7 @@
 	return c.rand.IntN(n)
 }
 
+// Directory returns the current directory.
 func (c *Coordinator) Directory() *Directory { return c.directory.Load() }
 
 // Update replaces the directory.
--- /dev/null
+++ b/test/e2e/crash_test.go
@@ -0,0 +1,60 @@
+package e2e_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+)
+
+// TestCrashingRequest guards against one request that, sent again and again,
+// takes the backend servers down: after the first fan-out it may cost one more
+// server, then it is refused. Other requests go on.
+func TestCrashingRequest(t *testing.T) {
+	const shards, replicas = 4, 2
+	y := newSystem(t, shape{control: 3, entries: 2, shards: shards, replicas: replicas, section: section, behavior: searcher.Behavior{Crash: "poison"}})
+	watch := make(chan struct{})
+	restarts := 0
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-watch:
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			for _, p := range y.fakes {
+				select {
+				case <-p.done:
+					restarts++
+					p.start()
+				default:
+				}
+			}
+		}
+	}()
+	refused := 0
+	for i := range 20 {
+		a, err := y.search(y.callers[i%2], `"poison"`, gateway.Interactive)
+		require.NoError(t, err)
+		if a.Code == gateway.CodeQuarantined {
+			require.Equal(t, gateway.NotRun, a.Outcome)
+			refused++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	y.await("a complete answer to another request", func() bool {
+		a, err := y.search(y.callers[0], fmt.Sprintf("%q", "harmless"), gateway.Interactive)
+		return err == nil && a.Outcome == gateway.Ran && len(a.Coverage.Missing) == 0
+	})
+	close(watch)
+	<-done
+	t.Logf("%d backend servers lost to 20 sends of one request, %d sends refused", restarts, refused)
+	require.NotZero(t, refused)
+	require.LessOrEqual(t, restarts, shards+2, "backend servers lost to one request")
+}
--- /dev/null
+++ b/test/e2e/fakes_test.go
@@ -0,0 +1,41 @@
+package e2e_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/test/fakes/searcher"
+)
+
+func contains(s, part string) bool { return strings.Contains(s, part) }
+
+// stats returns the counts of a fake backend server.
+func (y *system) stats(i int) searcher.Stats {
+	y.t.Helper()
+	var s searcher.Stats
+	res, err := client.Get("http://" + y.addrs[i].String() + "/stats")
+	require.NoError(y.t, err)
+	defer func() { _ = res.Body.Close() }()
+	require.NoError(y.t, json.NewDecoder(res.Body).Decode(&s))
+	return s
+}
+
+// behave changes what a fake backend server does.
+func (y *system) behave(i int, b searcher.Behavior) { y.tell(i, "/behavior", b) }
+
+// serve changes the snapshots that a fake backend server holds.
+func (y *system) serve(i int, s []searcher.Served) { y.tell(i, "/served", s) }
+
+func (y *system) tell(i int, path string, v any) {
+	y.t.Helper()
+	data, err := json.Marshal(v)
+	require.NoError(y.t, err)
+	res, err := client.Post("http://"+y.addrs[i].String()+path, "application/json", bytes.NewReader(data))
+	require.NoError(y.t, err)
+	defer func() { _ = res.Body.Close() }()
+	require.Equal(y.t, http.StatusOK, res.StatusCode)
+}
--- a/test/e2e/kill_test.go
+++ b/test/e2e/kill_test.go
@@ -35,7 +35,6 @@
 type tally struct {
 	mu       sync.Mutex
 	outcomes map[string]string
-	broken   int
 }
 
 func (y *tally) put(body, outcome string) {
--- a/test/e2e/system_test.go
+++ b/test/e2e/system_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"gentianpond/internal/host/gateway"
@@ -281,7 +282,8 @@
 	if err == nil {
 		return string(out), 0
 	}
-	if exit, ok := err.(*exec.ExitError); ok {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
 		return string(out), exit.ExitCode()
 	}
 	return err.Error(), -1
