--- a/internal/search/limiter/dispatch.go
+++ b/internal/search/limiter/dispatch.go
@@ -71,13 +71,16 @@
 		}
 		return hold
 	}
-	if l.queues[Bulk].Len() > 0 && l.bulk < l.bulkSlots() {
+	if l.queues[Bulk].Len() > 0 && len(l.flying) < l.bulkSlots() {
 		return startBulk
 	}
 	return hold
 }
 
-// bulkSlots is the number of slots open to bulk.
+// bulkSlots is the number of slots open to bulk. Interactive requests count
+// towards it, so that the next interactive request finds a free slot: a slot
+// that is merely never bulk's leaves it waiting whenever another interactive
+// request holds that slot.
 func (l *Limiter) bulkSlots() int {
 	if l.slots >= 2 {
 		return l.slots - 1
--- a/internal/search/limiter/limiter.go
+++ b/internal/search/limiter/limiter.go
@@ -4,7 +4,8 @@
 // Rules, in order of precedence:
 //
 //   - A start never makes the requests in flight exceed the slots.
-//   - Of 2 or more slots, one is closed to bulk.
+//   - Of 2 or more slots, one is closed to bulk: a bulk request starts only if
+//     another slot stays free.
 //   - A request that runs alone starts when nothing is in flight, and nothing
 //     starts until it is done.
 //   - Interactive requests start before bulk ones, each lane in order of arrival.
--- a/internal/search/limiter/limiter_test.go
+++ b/internal/search/limiter/limiter_test.go
@@ -146,15 +146,11 @@
 	}
 	m.flying[ticket.ID] = ticket
 	require.LessOrEqual(m.t, len(m.flying), m.slots, "more in flight than slots")
-	bulk := 0
 	for _, f := range m.flying {
 		require.True(m.t, !f.Alone || len(m.flying) == 1, "ticket %d is not alone", f.ID)
-		if f.Lane == Bulk {
-			bulk++
-		}
 	}
 	if ticket.Lane == Bulk && m.slots >= 2 {
-		require.Less(m.t, bulk, m.slots, "bulk in the reserved slot")
+		require.Less(m.t, len(m.flying), m.slots, "bulk in the last free slot")
 	}
 }
 
--- a/internal/search/limiter/ticket.go
+++ b/internal/search/limiter/ticket.go
@@ -10,7 +10,7 @@
 const (
 	// Interactive requests have somebody waiting and go first.
 	Interactive Lane = iota // interactive
-	// Bulk requests use what interactive ones leave, and never the last slot.
+	// Bulk requests use what interactive ones leave, but not the last free slot.
 	Bulk // bulk
 )
 
