--- a/cmd/gentianpond/apply.go
+++ b/cmd/gentianpond/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"os/user"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -20,8 +21,9 @@
 func newApply() command {
 	sub := newSubcommand("apply", helpApply)
 	var o operator
-	var team, file, id, author string
+	var team, file, id string
 	var version uint64
+	author := userName()
 	o.flags(sub)
 	sub.UInt64(&version, "v", "replaces", "Version of the section that the change replaces.")
 	sub.String(&id, "i", "id", "Id of the change; a new one is made and printed without it.")
@@ -42,6 +44,15 @@
 	}}
 }
 
+// userName returns the name of the user who runs the program.
+func userName() string {
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
 func (o *operator) apply(ctx context.Context, r *messenger.ChangeRequest) error {
 	var reply *messenger.ChangeReply
 	err := o.ask(ctx, func(ctx context.Context, c messenger.ControlClient) (string, error) {
--- a/cmd/gentianpond/quarantine.go
+++ b/cmd/gentianpond/quarantine.go
@@ -18,8 +18,9 @@
 func newQuarantine() command {
 	sub := newSubcommand("quarantine", helpQuarantine)
 	var o operator
-	var action, fingerprint, archive, author string
-	action = "list"
+	var fingerprint, archive string
+	action := "list"
+	author := userName()
 	o.flags(sub)
 	sub.AddPositionalValue(&action, "action", 1, false, "list, clear or pin.")
 	sub.AddPositionalValue(&fingerprint, "fingerprint", 2, false, "Fingerprint, hexadecimal.")
--- a/test/e2e/control_test.go
+++ b/test/e2e/control_test.go
@@ -123,7 +123,7 @@
 		path := filepath.Join(y.dir, fmt.Sprintf("race-%d.json", i))
 		_ = os.WriteFile(path, []byte(sectionFor(fmt.Sprintf("race-%d", i))), 0o644)
 		var out string
-		out, results[i] = y.run("apply", "--control", y.controlFlag(), "--id", fmt.Sprintf("race-%d", i), "--replaces", "0", "team-r", path)
+		out, results[i] = y.run("apply", "--control", y.controlFlag(), "--id", fmt.Sprintf("race-%d", i), "--author", "test", "--replaces", "0", "team-r", path)
 		t.Logf("operator %d: exit %d, %s", i, results[i], out)
 	}).Wait()
 	require.ElementsMatch(t, []int{0, 5}, results, "exactly one of two equal versions is accepted")
@@ -134,7 +134,7 @@
 	y.apply("team-r", 1, "newer", sectionFor("newer"))
 	// The winner's answer was lost: it sends the same change again.
 	path := filepath.Join(y.dir, fmt.Sprintf("race-%d.json", winner))
-	out, code := y.run("apply", "--control", y.controlFlag(), "--id", fmt.Sprintf("race-%d", winner), "--replaces", "0", "team-r", path)
+	out, code := y.run("apply", "--control", y.controlFlag(), "--id", fmt.Sprintf("race-%d", winner), "--author", "test", "--replaces", "0", "team-r", path)
 	require.Zero(t, code, out)
 	require.Contains(t, out, "section version 1")
 	out, _ = y.run("show", "--control", y.controlFlag(), "--team", "team-r")
--- /dev/null
+++ b/test/e2e/snapshot_test.go
@@ -0,0 +1,102 @@
+package e2e_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+)
+
+// TestRepartition guards against answers that mix snapshots, or state the
+// wrong coverage, while backend servers move to a snapshot with another number
+// of shards and withdraw the old one.
+func TestRepartition(t *testing.T) {
+	y := newSystem(t, shape{control: 3, entries: 2, shards: 4, replicas: 2, section: section2, behavior: searcher.Behavior{Delay: 5 * time.Millisecond}})
+	stop := make(chan struct{})
+	var ran, partial, refused atomic.Int64
+	workers := parallel(4, func(w int) {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			a, err := y.search(y.callers[w%2], fmt.Sprintf(`"move %d %d"`, w, i), gateway.Interactive)
+			if !assert.NoError(t, err) {
+				return
+			}
+			checkSearch(t, a)
+			switch {
+			case a.Outcome != gateway.Ran:
+				refused.Add(1)
+			case len(a.Coverage.Missing) > 0:
+				partial.Add(1)
+			default:
+				ran.Add(1)
+				assert.Equal(t, map[string]uint32{"1": 4, "2": 2}[a.Snapshot], a.Coverage.Shards)
+			}
+		}
+	})
+	old := func(i int) searcher.Served {
+		return searcher.Served{Archive: "albums", Snapshot: "1", Count: 4, Shards: []uint32{uint32(i / 2)}}
+	}
+	next := func(i int) searcher.Served {
+		return searcher.Served{Archive: "albums", Snapshot: "2", Count: 2, Shards: []uint32{uint32(i / 4)}}
+	}
+	for i := range y.fakes {
+		y.serve(i, []searcher.Served{old(i), next(i)})
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i := range y.fakes {
+		y.serve(i, []searcher.Served{next(i)})
+		time.Sleep(20 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond)
+	close(stop)
+	workers.Wait()
+	t.Logf("%d complete, %d partial, %d without an answer", ran.Load(), partial.Load(), refused.Load())
+	require.NotZero(t, ran.Load())
+	a, err := y.search(y.callers[0], `"after"`, gateway.Interactive)
+	require.NoError(t, err)
+	require.Equal(t, "2", a.Snapshot)
+	require.Empty(t, a.Coverage.Missing)
+}
+
+// TestAbruptMove is the harder case: servers switch without serving both
+// snapshots, so the pinned one disappears under running queries.
+func TestAbruptMove(t *testing.T) {
+	y := newSystem(t, shape{control: 3, entries: 2, shards: 4, replicas: 2, section: section2, behavior: searcher.Behavior{Delay: 5 * time.Millisecond}})
+	stop := make(chan struct{})
+	workers := parallel(4, func(w int) {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			a, err := y.search(y.callers[w%2], fmt.Sprintf(`"jump %d %d"`, w, i), gateway.Interactive)
+			if !assert.NoError(t, err) {
+				return
+			}
+			checkSearch(t, a)
+		}
+	})
+	for i := range y.fakes {
+		y.serve(i, []searcher.Served{{Archive: "albums", Snapshot: "2", Count: 4, Shards: []uint32{uint32(i / 2)}}})
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	close(stop)
+	workers.Wait()
+	a, err := y.search(y.callers[0], `"after"`, gateway.Interactive)
+	require.NoError(t, err)
+	require.Equal(t, "2", a.Snapshot)
+	require.Empty(t, a.Coverage.Missing)
+}
