Let a stopping host leave without waiting for a silent leader

Cause: leaving waited for the sync in flight under a lock, and a caller whose own short deadline ended moved all callers away from the leader.

--- a/internal/control/subscriber/locator.go
+++ b/internal/control/subscriber/locator.go
@@ -170,7 +170,10 @@
 		case err == nil:
 			err = errors.Errorf("%s is not the leader", addr)
 		}
-		l.failed(addr)
+		// A caller that has run out of time learned nothing about the host.
+		if ctx.Err() == nil {
+			l.failed(addr)
+		}
 		redirects = 0
 		if !wait(ctx, pause.next(len(l.addresses))) {
 			var none A
--- a/internal/control/subscriber/subscriber.go
+++ b/internal/control/subscriber/subscriber.go
@@ -94,7 +94,7 @@
 	state    atomic.Pointer[State]
 	mu       sync.Mutex // held while the state changes
 	renewed  chan struct{}
-	syncing  sync.Mutex // held during a round of the sync loop
+	turn     chan struct{} // holds an item during a sync
 	leaving  chan struct{}
 	leave    sync.Once
 	suspects *queue
@@ -115,6 +115,7 @@
 		config:   config,
 		locator:  newLocator(config.Addresses, config.Connect),
 		renewed:  make(chan struct{}, 1),
+		turn:     make(chan struct{}, 1),
 		leaving:  make(chan struct{}),
 		suspects: newQueue(),
 	}
--- a/internal/control/subscriber/subscriber_test.go
+++ b/internal/control/subscriber/subscriber_test.go
@@ -199,8 +199,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
 		r.a.set(step{grant: true}, step{silent: true})
-		r.b.set(step{leader: addrA}, step{leader: addrC})
-		r.c.set(step{}, step{grant: true})
+		r.b.set(step{leader: addrA}, step{leader: addrA}, step{leader: addrA}, step{leader: addrC})
+		r.c.set(step{}, step{}, step{}, step{grant: true})
 		r.start(t)
 		for range 20 {
 			later(500 * time.Millisecond)
@@ -260,7 +260,8 @@
 	})
 }
 
-// Guards against a caller that waits longer than its deadline.
+// Guards against a caller that waits longer than its deadline, or whose short
+// deadline moves the other callers away from the leader.
 func TestOrderUnavailable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
@@ -270,6 +271,15 @@
 		_, err := r.Reserve(ctx, Intent{Key: "1-a", Attempt: "x"})
 		require.ErrorIs(t, err, ErrUnavailable)
 		require.Equal(t, 160*time.Millisecond, time.Since(start))
+		r.a.set(step{silent: true})
+		before, _, _ := r.locator.target()
+		r.locator.redirect(before, addrA)
+		ctx, cancel = context.WithTimeout(context.Background(), 160*time.Millisecond)
+		defer cancel()
+		_, err = r.Reserve(ctx, Intent{Key: "1-a", Attempt: "x"})
+		require.ErrorIs(t, err, ErrUnavailable)
+		target, _, _ := r.locator.target()
+		require.Equal(t, addrA, target.String(), "a short deadline moved all callers")
 	})
 }
 
@@ -321,15 +331,18 @@
 func TestLeave(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig()
-		r.a.set(step{grant: true}, step{grant: true, delay: 200 * time.Millisecond})
+		r.a.set(step{grant: true}, step{silent: true}, step{grant: true})
 		r.start(t)
 		later(600 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
+		left := time.Now()
 		require.NoError(t, r.Leave(ctx))
+		require.Zero(t, time.Since(left), "waited for a sync in flight")
 		require.False(t, r.State().Holds(time.Now()))
 		calls := r.a.count()
 		require.True(t, r.a.calls[calls-1].(*messenger.SyncRequest).Leaving)
+		r.round(ctx)
 		later(10 * time.Second)
 		require.Equal(t, calls, r.a.count(), "synced after it left")
 		require.False(t, r.State().Holds(time.Now()))
--- a/internal/control/subscriber/sync.go
+++ b/internal/control/subscriber/sync.go
@@ -14,7 +14,6 @@
 	errStale = errors.New("reply is older than the state in force")
 	// errIncomplete marks a reply that lacks what the host needs to be current.
 	errIncomplete = errors.New("reply names a newer state and does not hold it")
-	errLeft       = errors.New("host has left the view")
 )
 
 // syncLoop keeps one request in flight at a time, so that replies come in the
@@ -39,8 +38,13 @@
 
 // round syncs once and returns when the answered request was sent.
 func (s *Subscriber) round(ctx context.Context) time.Time {
-	s.syncing.Lock()
-	defer s.syncing.Unlock()
+	s.turn <- struct{}{}
+	defer func() { <-s.turn }()
+	select {
+	case <-s.leaving:
+		return time.Now()
+	default:
+	}
 	reply, sent, err := s.sync(ctx, false)
 	if err == nil {
 		err = s.adopt(reply, sent, time.Now())
@@ -81,11 +85,6 @@
 func (s *Subscriber) adopt(reply *messenger.SyncReply, sent, received time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	select {
-	case <-s.leaving:
-		return errLeft
-	default:
-	}
 	old := s.State()
 	fresh, err := merge(old, reply, received)
 	if err != nil {
@@ -141,7 +140,10 @@
 		state.QuarantineRevision = reply.Quarantine
 		state.Quarantine = quarantineOf(reply, received)
 	}
-	if reply.View.GetNumber() > state.View.Number {
+	if reply.View == nil {
+		return state, nil
+	}
+	if reply.View.Number > state.View.Number {
 		state.View = viewOf(reply.View)
 	}
 	state.Settled = reply.Settled
@@ -182,8 +184,12 @@
 // confirmed it before ctx ended; the host then leaves the view by silence.
 func (s *Subscriber) Leave(ctx context.Context) error {
 	s.leave.Do(func() { close(s.leaving) })
-	s.syncing.Lock()
-	defer s.syncing.Unlock()
+	select {
+	case s.turn <- struct{}{}:
+		defer func() { <-s.turn }()
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "wait for the last sync")
+	}
 	s.mu.Lock()
 	state := s.State()
 	state.Lease = time.Time{}
