Drop refused changes first when change ids fill up

Cause: a client that repeats a faulty change under new ids could fill the room for change ids and block all changes for 48 hours. Change: answers to changes that were not accepted go first; an entry host whose address cannot be read is not taken into the view.

--- a/internal/control/keeper/config.go
+++ b/internal/control/keeper/config.go
@@ -28,9 +28,11 @@
 	// there are more than minAnswers of them.
 	minAnswers   = 10_000
 	answerWindow = 48 * time.Hour
-	// maxAnswers and maxAnswerBytes bound the answers. Beyond them changes
-	// are refused, because an answer that is dropped early would let a resent
-	// change run again. 5,800 changes a day are expected at the target size.
+	// maxAnswers and maxAnswerBytes bound the answers. Beyond them answers to
+	// changes that were not accepted go first, so that a client that repeats a
+	// faulty change under new ids does not block the others. When only accepted
+	// ones are left, changes are refused. 5,800 changes a day are expected at
+	// the target size.
 	maxAnswers     = 100_000
 	maxAnswerBytes = 8 << 20
 	// maxHistory is the number of changes that can be listed.
@@ -74,7 +76,7 @@
 		return c.invalid(r, faults)
 	}
 	c.forget(now)
-	if len(c.order) >= maxAnswers || c.bytes >= maxAnswerBytes {
+	if c.full() && !c.forgetRefused() {
 		return c.reply(r, CodeUnavailable, Fault{Text: "too many changes in the last 48 hours"})
 	}
 	reply := c.evaluate(now, r)
@@ -231,6 +233,27 @@
 	}
 }
 
+func (c *config) full() bool {
+	return len(c.order) >= maxAnswers || c.bytes >= maxAnswerBytes
+}
+
+// forgetRefused drops the oldest answers to changes that were not accepted,
+// a tenth of the room at a time, and reports whether there were any.
+func (c *config) forgetRefused() bool {
+	quota := maxAnswers / 10
+	before := len(c.order)
+	c.order = slices.DeleteFunc(c.order, func(a *messenger.ChangeAnswer) bool {
+		if quota == 0 || a.Reply.Code == CodeAccepted {
+			return false
+		}
+		quota--
+		delete(c.answers, a.Id)
+		c.bytes -= proto.Size(a)
+		return true
+	})
+	return len(c.order) < before
+}
+
 // Preview answers a change without the log where that is final: a request
 // whose id was used before, and one that is invalid in the current state. For
 // any other request it returns false and the change has to be proposed. The
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -146,6 +146,23 @@
 	require.Len(t, d.config.answers, minAnswers+1)
 }
 
+// Guards against a client that blocks all changes by repeating a faulty one
+// under new ids, and against accepted ones that are forgotten for it.
+func TestRefusedChangesMakeRoom(t *testing.T) {
+	d := newDriver(nil)
+	first := d.change("first", "a", 0, "{}")
+	d.config.bytes = maxAnswerBytes
+	require.Equal(t, CodeUnavailable, d.change("2", "a", 1, "{}").Code, "only accepted changes to forget")
+	d.config.bytes = 1000
+	require.Equal(t, CodeConflict, d.change("3", "a", 9, "{}").Code)
+	d.config.bytes = maxAnswerBytes
+	require.Equal(t, CodeAccepted, d.change("4", "a", 1, "{}").Code)
+	repeat := d.change("first", "a", 0, "{}")
+	require.True(t, repeat.Repeat)
+	require.Equal(t, first.Version, repeat.Version)
+	require.Len(t, d.config.order, 2)
+}
+
 // Guards against a view that a late message of an earlier incarnation or of a
 // stopped host changes.
 func TestView(t *testing.T) {
@@ -209,6 +226,8 @@
 
 func (m *machine) apply(t *rapid.T, c *messenger.Command) Result {
 	m.a.now, m.b.now = m.now, m.now
+	before := m.a.Time()
+	defer func() { require.False(t, m.a.Time().Before(before), "time went back") }()
 	ra, rb := m.a.apply(c), m.b.apply(c)
 	require.Equal(t, fmt.Sprint(ra), fmt.Sprint(rb), "the restored keeper answers otherwise")
 	require.NoError(t, ra.Err)
@@ -273,7 +292,7 @@
 	attempt := rapid.SampledFrom([]string{"one", "two"}).Draw(t, "attempt")
 	reply := m.apply(t, &messenger.Command{Action: &messenger.Command_Reserve{Reserve: &messenger.ReserveRequest{
 		Key: key, Attempt: attempt, Fingerprint: 7, Deadline: timestamppb.New(m.now.Add(time.Second)),
-		Retention: durationpb.New(time.Duration(rapid.IntRange(0, 2).Draw(t, "hours")) * time.Hour)}}}).Order
+		Retention: durationpb.New(rapid.SampledFrom([]time.Duration{time.Minute, 10 * time.Minute, 0}).Draw(t, "retention"))}}}).Order
 	if recorder.Verdict(reply.Verdict) != recorder.VerdictGranted {
 		return
 	}
@@ -309,7 +328,7 @@
 }
 
 func (m *machine) view(t *rapid.T) {
-	host := &messenger.Member{Name: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "host"), Incarnation: rapid.Uint64Range(1, 4).Draw(t, "incarnation")}
+	host := &messenger.Member{Name: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "host"), Address: "127.0.0.1:1", Incarnation: rapid.Uint64Range(1, 4).Draw(t, "incarnation")}
 	change := &messenger.ViewChange{}
 	field := rapid.SampledFrom([]*[]*messenger.Member{&change.Add, &change.Add, &change.Remove, &change.Leave}).Draw(t, "field")
 	*field = []*messenger.Member{host}
--- a/internal/control/keeper/view.go
+++ b/internal/control/keeper/view.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -15,7 +16,7 @@
 	// maxDeparted is how many hosts that stopped are remembered. It only has
 	// to outlast messages that were sent before a host stopped.
 	maxDeparted = 1024
-	// maxName bounds names, addresses and ids in bytes.
+	// maxName bounds names and ids in bytes.
 	maxName = 128
 )
 
@@ -55,10 +56,10 @@
 // add puts a host into the view or replaces an older incarnation of it. A
 // message of an older incarnation that arrives late changes nothing.
 func (v *view) add(m *messenger.Member) bool {
-	if m.GetName() == "" || len(m.Name) > maxName || len(m.Zone) > maxName || len(m.Address) > maxName {
+	if m.GetName() == "" || len(m.Name) > maxName || len(m.Zone) > maxName || v.hasLeft(m) {
 		return false
 	}
-	if v.hasLeft(m) {
+	if _, err := netip.ParseAddrPort(m.Address); err != nil {
 		return false
 	}
 	m = &messenger.Member{Name: m.Name, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation}
--- a/internal/order/recorder/recorder_test.go
+++ b/internal/order/recorder/recorder_test.go
@@ -117,6 +117,18 @@
 	require.Zero(t, l.Bytes())
 }
 
+// Guards against a leader whose clock is behind and revives what has ended.
+func TestTimeNeverGoesBack(t *testing.T) {
+	l := New(Limits{})
+	key, old := keyAt(start, "a"), keyAt(start.Add(-24*time.Hour+time.Minute), "b")
+	reserve(key, "one")(l)
+	l.Advance(start.Add(time.Hour))
+	v, _ := l.Reserve(start, key, "one", 7, start, 0)
+	require.Equal(t, VerdictUnknown, v)
+	v, _ = l.Reserve(start, old, "one", 7, start, 0)
+	require.Equal(t, VerdictExpired, v)
+}
+
 // Guards against an outcome that is lost because its answer does not fit.
 func TestAnswerTooLarge(t *testing.T) {
 	l := New(Limits{Bytes: 600})
