--- a/internal/host/gateway/http.go
+++ b/internal/host/gateway/http.go
@@ -239,6 +239,9 @@
 	}
 	adm, fault := g.admit(o.Archive, Interactive, o.Deadline, o.Body)
 	if fault != nil {
+		if g.executor.Seen(key) {
+			a.Outcome = Unknown
+		}
 		return fault
 	}
 	ctx, span := g.tracer.Start(ctx, "order")
--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -98,8 +98,13 @@
 	Background func(func())
 
 	attempts atomic.Uint64
+	granted  seen
 }
 
+// Seen reports whether this process was granted the key before. Then the order
+// may have run, and no refusal may say that it did not.
+func (e *Executor) Seen(key string) bool { return e.granted.has(key) }
+
 // Run runs an order and returns what is known of it. The order goes on when
 // ctx is cancelled because the caller's connection broke: its outcome is still
 // wanted for the resend.
@@ -114,14 +119,27 @@
 	if o.Key == "" {
 		return describe(e.Dispatcher.Run(ctx, target, o, attempt))
 	}
+	if a, granted := e.reserve(ctx, o, attempt); !granted {
+		return a
+	}
+	return e.dispatch(ctx, o, target, attempt)
+}
+
+// reserve has the intent written. It returns the answer for the caller unless
+// the intent was granted to attempt.
+func (e *Executor) reserve(ctx context.Context, o Order, attempt string) (Answer, bool) {
 	stored, err := e.Ledger.Reserve(ctx, o, attempt)
+	if err != nil && e.Seen(o.Key) {
+		return Answer{Outcome: recorder.OutcomeUnknown, Code: CodeControl, Reason: "an earlier sending may have run: " + err.Error()}, false
+	}
 	if err != nil {
-		return notRun(CodeControl, errors.Wrap(err, "write the intent"))
+		return notRun(CodeControl, errors.Wrap(err, "write the intent")), false
 	}
 	if stored.Verdict != recorder.VerdictGranted {
-		return repeat(stored)
+		return repeat(stored), false
 	}
-	return e.dispatch(ctx, o, target, attempt)
+	e.granted.add(o.Key)
+	return Answer{}, true
 }
 
 // withoutTarget answers when no backend server can take the order. A resend
@@ -130,12 +148,8 @@
 	if o.Key == "" {
 		return notRun(CodeUnavailable, err)
 	}
-	stored, reserveErr := e.Ledger.Reserve(ctx, o, attempt)
-	if reserveErr != nil {
-		return notRun(CodeControl, errors.Wrap(reserveErr, "write the intent"))
-	}
-	if stored.Verdict != recorder.VerdictGranted {
-		return repeat(stored)
+	if a, granted := e.reserve(ctx, o, attempt); !granted {
+		return a
 	}
 	a := notRun(CodeUnavailable, err)
 	e.complete(o, attempt, a)
--- /dev/null
+++ b/internal/order/executor/seen.go
@@ -0,0 +1,26 @@
+package executor
+
+import (
+	"sync"
+
+	"gentianpond/internal/value/container"
+)
+
+// seenSize is how many granted keys a process remembers.
+const seenSize = 65536
+
+// seen remembers the keys that were granted to this process. The zero value is
+// empty.
+type seen struct {
+	once sync.Once
+	keys *container.Recent[string]
+}
+
+func (s *seen) recent() *container.Recent[string] {
+	s.once.Do(func() { s.keys = container.NewRecent[string](seenSize) })
+	return s.keys
+}
+
+func (s *seen) has(key string) bool { return s.recent().Has(key) }
+
+func (s *seen) add(key string) { s.recent().Add(key) }
