Test orders and bad input with separate processes

Cause: an entry host or the control leader can be killed at any step of an order, and callers send keys again, reuse them or send them late. Change: tests that kill the entry host and the leader in the middle of orders and send each key again, tables of keys and of bad input.

--- /dev/null
+++ b/test/e2e/order_test.go
@@ -0,0 +1,103 @@
+package e2e_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+)
+
+// TestOrderHostKilled guards against a second execution when the entry host is
+// killed at different moments of an order and the caller sends the same key
+// again through another host, and against a resend that is never told more
+// than "in progress".
+func TestOrderHostKilled(t *testing.T) {
+	const orders = 40
+	y := newSystem(t, shape{control: 3, entries: 3, shards: 2, replicas: 2, section: section2, behavior: searcher.Behavior{Delay: 30 * time.Millisecond}})
+	victim := y.entries[0]
+	keys := make([]string, orders)
+	workers := parallel(orders, func(i int) {
+		keys[i] = fmt.Sprintf("%d-kill-%d", time.Now().Unix(), i)
+		time.Sleep(time.Duration(i) * 4 * time.Millisecond)
+		_, _ = y.order(y.callers[0], keys[i], fmt.Sprintf(`"kill %d"`, i))
+	})
+	time.Sleep(100 * time.Millisecond)
+	victim.kill()
+	workers.Wait()
+	counts := map[string]int{}
+	for i, key := range keys {
+		body := fmt.Sprintf(`"kill %d"`, i)
+		var a gateway.OrderAnswer
+		y.await("an outcome of "+key, func() bool {
+			var err error
+			a, err = y.order(y.callers[1+i%2], key, body)
+			return err == nil && a.Code != "progress" && a.Code != "control" && a.Code != gateway.CodeStale
+		})
+		counts[a.Outcome+" "+a.Code]++
+		ran := y.executions()[body]
+		assert.LessOrEqual(t, ran, 1, "%s ran %d times", body, ran)
+		switch a.Outcome {
+		case gateway.Ran:
+			assert.Equal(t, 1, ran, "%s was said to have run", body)
+		case gateway.NotRun:
+			assert.Zero(t, ran, "%s was said not to have run: %s", body, a.Code)
+		}
+	}
+	t.Logf("outcomes of the resends: %v", counts)
+}
+
+// TestOrderLeaderKilled guards against a second execution and a false "not
+// run" when the control leader is killed between the intent and the dispatch.
+func TestOrderLeaderKilled(t *testing.T) {
+	const orders = 60
+	y := newSystem(t, shape{control: 3, entries: 3, shards: 2, replicas: 2, section: section2, behavior: searcher.Behavior{Delay: 5 * time.Millisecond}})
+	y.awaitVoters(3)
+	leader := y.leader()
+	var told tally
+	workers := parallel(6, func(w int) {
+		for i := range orders / 6 {
+			y.placeOrder(&told, w, i)
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	time.Sleep(60 * time.Millisecond)
+	y.control[leader].kill()
+	workers.Wait()
+	y.checkOrders(&told)
+}
+
+// TestOrderKeys guards against an order that runs under a key that is too old,
+// malformed or already used for another body, and against a resend that runs.
+func TestOrderKeys(t *testing.T) {
+	y := newSystem(t, shape{control: 1, entries: 2, shards: 2, replicas: 1, section: section2})
+	now := time.Now().Unix()
+	tests := []struct {
+		name, key, body string
+		entry           int
+		outcome, code   string
+		repeat          bool
+		runs            int
+	}{
+		{"first", fmt.Sprintf("%d-a", now), `"one"`, 0, gateway.Ran, "", false, 1},
+		{"resend through another host", fmt.Sprintf("%d-a", now), `"one"`, 1, gateway.Ran, "", true, 1},
+		{"same key, other body", fmt.Sprintf("%d-a", now), `"two"`, 1, gateway.NotRun, "conflict", false, 0},
+		{"key older than the window", fmt.Sprintf("%d-b", now-90_000), `"three"`, 0, gateway.NotRun, "expired", false, 0},
+		{"key from the future", fmt.Sprintf("%d-c", now+4000), `"four"`, 0, gateway.NotRun, "key", false, 0},
+		{"no key in the form", "abc", `"five"`, 0, gateway.NotRun, "key", false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, err := y.order(y.callers[tt.entry], tt.key, tt.body)
+			require.NoError(t, err)
+			require.Equal(t, tt.outcome, a.Outcome, a.Reason)
+			require.Equal(t, tt.code, a.Code)
+			require.Equal(t, tt.repeat, a.Repeat)
+			require.Equal(t, tt.runs, y.executions()[tt.body])
+		})
+	}
+}
