Forget suspects and alerts in shares when the quarantine is full

Change: a sixteenth of the oldest suspects or alerts goes at a time, in an order that all hosts share.

--- a/internal/guard/quarantiner/quarantiner.go
+++ b/internal/guard/quarantiner/quarantiner.go
@@ -243,18 +243,32 @@
 	}
 	limit := cmp.Or(b.limits.Archives, DefaultLimits.Archives)
 	if _, ok := b.alerts[archive]; !ok && len(b.alerts) >= limit {
-		oldest := slices.MinFunc(b.Alerts(), func(x, y Alert) int { return x.Crash.Compare(y.Crash) })
-		delete(b.alerts, oldest.Archive)
+		b.evictAlerts(limit)
 	}
 	b.alerts[archive] = b.now
 	b.revision++
 }
 
-// add makes room for a fingerprint by forgetting the suspect that expires
+// evictAlerts drops the oldest alerts. Equal times are decided by name, so that
+// all hosts drop the same ones.
+func (b *Book) evictAlerts(limit int) {
+	list := b.Alerts()
+	slices.SortStableFunc(list, func(x, y Alert) int { return x.Crash.Compare(y.Crash) })
+	for _, a := range list[:share(limit)] {
+		delete(b.alerts, a.Archive)
+	}
+}
+
+// share is how many items are dropped at a time: finding the oldest ones takes
+// a look at all of them, which is too much work for each report of a flood.
+func share(limit int) int { return max(limit/16, 1) }
+
+// add makes room for a fingerprint by forgetting the suspects that expire
 // first. Quarantined and pinned fingerprints are never forgotten for it; add
 // returns nil when there are no others.
 func (b *Book) add(fingerprint uint64, archive string, state State) *Suspicion {
-	if len(b.suspicions) >= cmp.Or(b.limits.Suspicions, DefaultLimits.Suspicions) && !b.evict() {
+	limit := cmp.Or(b.limits.Suspicions, DefaultLimits.Suspicions)
+	if len(b.suspicions) >= limit && !b.evict(limit) {
 		b.dropped++
 		return nil
 	}
@@ -266,27 +280,25 @@
 	return s
 }
 
-func (b *Book) evict() bool {
-	var first *Suspicion
+func (b *Book) evict(limit int) bool {
+	var suspects []*Suspicion
 	for _, s := range b.suspicions {
-		if s.State == StateSuspect && (first == nil || s.before(first)) {
-			first = s
+		if s.State == StateSuspect {
+			suspects = append(suspects, s)
 		}
 	}
-	if first == nil {
-		return false
+	slices.SortFunc(suspects, compare)
+	suspects = suspects[:min(share(limit), len(suspects))]
+	for _, s := range suspects {
+		delete(b.suspicions, s.Fingerprint)
 	}
-	b.dropped++
-	delete(b.suspicions, first.Fingerprint)
-	return true
+	b.dropped += uint64(len(suspects))
+	return len(suspects) > 0
 }
 
-// before is a total order, so that all hosts evict the same suspect.
-func (s *Suspicion) before(other *Suspicion) bool {
-	if c := s.Expiry.Compare(other.Expiry); c != 0 {
-		return c < 0
-	}
-	return s.Fingerprint < other.Fingerprint
+// compare is a total order, so that all hosts forget the same suspects.
+func compare(x, y *Suspicion) int {
+	return cmp.Or(x.Expiry.Compare(y.Expiry), cmp.Compare(x.Fingerprint, y.Fingerprint))
 }
 
 func (s *Suspicion) expired(now time.Time) bool {
--- a/internal/guard/quarantiner/quarantiner_test.go
+++ b/internal/guard/quarantiner/quarantiner_test.go
@@ -164,3 +164,22 @@
 		})
 	})
 }
+
+// Guards against hosts that differ in what they forget when the book is full:
+// one of the two books is restored from its contents again and again.
+func TestFullBooksAgree(t *testing.T) {
+	limits := Limits{Suspicions: 4, Reports: 6, Archives: 3}
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, now := New(limits), New(limits), start
+		for range rapid.IntRange(1, 40).Draw(t, "reports") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 0, 1, 120}).Draw(t, "seconds")) * time.Second)
+			o := crash(fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "id")), rapid.Uint64Range(0, 9).Draw(t, "fingerprint"), rapid.Bool().Draw(t, "alone"))
+			o.Archive = fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "archive"))
+			c := b.Contents()
+			b = New(limits)
+			b.Load(c)
+			require.Equal(t, a.Observe(now, o), b.Observe(now, o))
+			require.Equal(t, fmt.Sprint(a.Contents()), fmt.Sprint(b.Contents()))
+		}
+	})
+}
