Add the server of the control role

One goroutine takes events from a bounded queue and saves all that they cause with one sync; each peer address has a sender with a bounded queue.

--- /dev/null
+++ b/internal/control/server/server.go
@@ -0,0 +1,167 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/control/journaler"
+	"gentianpond/internal/control/replicator"
+	"gentianpond/internal/protocol/messenger"
+)
+
+const (
+	// queueLimit is the number of events that wait for the loop.
+	queueLimit = 4096
+	// drainLimit bounds the wait for calls in flight at a planned stop.
+	drainLimit = time.Second
+	// proposalLimit is the largest proposal in bytes. A section may have 1 MB.
+	proposalLimit = 2 << 20
+)
+
+// Server is one control host. Use New.
+type Server struct {
+	settings Settings
+	log      *log.Logger
+	scope    tally.Scope
+	journal  *journaler.Journal
+	loop     *loop
+	queue    chan event
+	stopped  chan struct{}
+	draining atomic.Bool
+	calls    atomic.Int64
+}
+
+// New opens the data folder. An empty one gets a new identity, under which the
+// host waits to be taken into a group. Errors are ErrSettings and those of the
+// journal; after journaler.ErrDamaged the folder has to be emptied, and the
+// host is then taken in again under a new identity.
+func New(settings Settings, logger *log.Logger, scope tally.Scope) (*Server, error) {
+	if err := settings.complete(); err != nil {
+		return nil, err
+	}
+	s := &Server{
+		settings: settings,
+		log:      logger.WithPrefix("control"),
+		scope:    scope.SubScope("control"),
+		queue:    make(chan event, queueLimit),
+		stopped:  make(chan struct{}),
+	}
+	journal, state, err := s.open()
+	if err != nil {
+		return nil, err
+	}
+	s.journal = journal
+	s.loop, err = newLoop(settings, journal, state, s.log, s.scope)
+	if err != nil {
+		return nil, errors.Join(errors.Wrap(err, "load data folder"), journal.Close())
+	}
+	s.log.Info("opened the data folder", "id", state.Identity, "last", state.Last(), "bytes", journal.Size())
+	return s, nil
+}
+
+func (s *Server) open() (*journaler.Journal, journaler.State, error) {
+	journal, state, err := journaler.OpenOn(s.settings.disk, s.settings.Data)
+	if !errors.Is(err, journaler.ErrMissing) {
+		return journal, state, err
+	}
+	id, err := journaler.CreateOn(s.settings.disk, s.settings.Data)
+	if err != nil {
+		return nil, state, err
+	}
+	s.log.Info("made a new identity; waiting to be taken into a group", "id", id)
+	return journaler.OpenOn(s.settings.disk, s.settings.Data)
+}
+
+// coreConfig returns the log core's configuration for a loaded state.
+func coreConfig(state journaler.State, snapshot replicator.Snapshot) replicator.Config {
+	return replicator.Config{
+		ID:        state.Identity,
+		HardState: replicator.HardState(state.Hard),
+		Snapshot:  snapshot,
+		Entries:   loadedEntries(state.Records),
+		Rand:      rand.New(rand.NewPCG(rand.Uint64(), state.Identity)),
+		MaxBytes:  proposalLimit,
+	}
+}
+
+// Run serves until ctx ends, which is no error. It returns an error when the
+// service cannot listen or when the durable state fails; the process must
+// then end. Run can be called once and closes the data folder.
+func (s *Server) Run(ctx context.Context) error {
+	listener := s.settings.Listener
+	if listener == nil {
+		var err error
+		listener, err = net.Listen("tcp", s.settings.Inner.String())
+		if err != nil {
+			return errors.Join(errors.Wrap(err, "listen on the inner address"), s.journal.Close())
+		}
+	}
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var group sync.WaitGroup
+	s.loop.senders = &senders{
+		name:    s.settings.Name,
+		id:      s.journal.Identity(),
+		options: s.settings.DialOptions,
+		scope:   s.scope,
+		ctx:     inner,
+		group:   &group,
+		peers:   map[netip.AddrPort]*sender{},
+	}
+	rpc := messenger.NewServer(s.settings.ServerOptions...)
+	messenger.RegisterControlServer(rpc, &service{server: s})
+	loopDone := make(chan error, 1)
+	go func() {
+		err := s.loop.run(inner, s.queue)
+		close(s.stopped)
+		loopDone <- err
+	}()
+	serveDone := make(chan error, 1)
+	go func() { serveDone <- rpc.Serve(listener) }()
+	err := s.wait(ctx, serveDone)
+	rpc.Stop()
+	cancel()
+	group.Wait()
+	return errors.Join(err, <-loopDone, s.journal.Close())
+}
+
+// Status describes this host as the call of the same name does, for the
+// process's own status page.
+func (s *Server) Status(ctx context.Context) (*messenger.StatusReply, error) {
+	return (&service{server: s}).Status(ctx, &messenger.StatusRequest{})
+}
+
+// wait returns when the server has to stop.
+func (s *Server) wait(ctx context.Context, served <-chan error) error {
+	select {
+	case <-ctx.Done():
+		s.drain()
+		return nil
+	case <-s.stopped:
+		return nil
+	case err := <-served:
+		return errors.Wrap(err, "serve the inner address")
+	}
+}
+
+// drain refuses new calls and waits for those in flight, bounded.
+func (s *Server) drain() {
+	s.draining.Store(true)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for range int(drainLimit / tick) {
+		if s.calls.Load() == 0 {
+			return
+		}
+		<-ticker.C
+	}
+}
--- /dev/null
+++ b/internal/control/server/store.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/control/journaler"
+	"gentianpond/internal/control/replicator"
+)
+
+// batchOf returns what the journal has to store of r.
+func batchOf(r replicator.Ready) (journaler.Batch, error) {
+	var b journaler.Batch
+	if r.HardState != (replicator.HardState{}) {
+		h := journaler.HardState(r.HardState)
+		b.Hard = &h
+	}
+	if r.Snapshot != nil {
+		s, err := storedSnapshot(*r.Snapshot)
+		if err != nil {
+			return b, err
+		}
+		b.Snapshot = &s
+	}
+	for _, e := range r.Entries {
+		b.Records = append(b.Records, journaler.Record{Term: e.Term, Index: e.Index, Kind: uint32(e.Kind), Data: e.Data})
+	}
+	return b, nil
+}
+
+// storedSnapshot puts the membership in front of the snapshot's data.
+func storedSnapshot(s replicator.Snapshot) (journaler.Snapshot, error) {
+	members, err := json.Marshal(s.Members)
+	if err != nil {
+		return journaler.Snapshot{}, errors.Wrap(err, "encode membership")
+	}
+	data := binary.AppendUvarint(nil, uint64(len(members)))
+	data = append(data, members...)
+	data = append(data, s.Data...)
+	return journaler.Snapshot{Index: s.Index, Term: s.Term, Data: data}, nil
+}
+
+// loadedSnapshot is the inverse of storedSnapshot.
+func loadedSnapshot(s journaler.Snapshot) (replicator.Snapshot, error) {
+	out := replicator.Snapshot{Index: s.Index, Term: s.Term}
+	if s.Index == 0 {
+		return out, nil
+	}
+	length, n := binary.Uvarint(s.Data)
+	if n <= 0 || length > uint64(len(s.Data)-n) {
+		return out, errors.Wrap(journaler.ErrDamaged, "snapshot without membership")
+	}
+	rest := s.Data[n:]
+	if err := json.Unmarshal(rest[:length], &out.Members); err != nil {
+		return out, errors.Wrapf(journaler.ErrDamaged, "membership of the snapshot: %v", err)
+	}
+	out.Data = rest[length:]
+	return out, nil
+}
+
+// loadedEntries returns the records as entries.
+func loadedEntries(records []journaler.Record) []replicator.Entry {
+	var entries []replicator.Entry
+	for _, r := range records {
+		entries = append(entries, replicator.Entry{Term: r.Term, Index: r.Index, Kind: replicator.EntryKind(r.Kind), Data: r.Data})
+	}
+	return entries
+}
