Test the fault reports of settings, configuration and workloads

A fault that is missed or reported at the wrong place costs an operator a second attempt on a running system. They found that a line comment at the very end of a text was refused, which is now read, and that a section with such a comment hid the sections after it when the document was put together.

--- a/internal/settings/checker/checker.go
+++ b/internal/settings/checker/checker.go
@@ -4,6 +4,7 @@
 package checker
 
 import (
+	"bytes"
 	"time"
 
 	"gentianpond/internal/settings/scanner"
@@ -31,7 +32,8 @@
 // Section is the part of a document that one team owns.
 type Section struct {
 	Team string
-	// Text is the section as written, JSON with comments.
+	// Text is the section as written, JSON with comments. Comments around it
+	// are part of it if the section was given alone.
 	Text []byte
 	// Archives are ordered as in the text.
 	Archives []Archive
@@ -130,6 +132,7 @@
 	if err := s.Err(); err != nil {
 		return Section{}, err
 	}
+	section.Text = bytes.TrimSpace(text)
 	return section, nil
 }
 
@@ -166,9 +169,19 @@
 	for _, s := range d.Sections {
 		text = append(text, "\n\""+s.Team+"\": "...)
 		text = append(text, s.Text...)
+		if endsInComment(s.Text) {
+			text = append(text, '\n')
+		}
 		text = append(text, ',')
 	}
 	return append(text, "\n}\n"...)
 }
 
+// endsInComment reports whether the last line of text may hold a comment that
+// would hide what follows it.
+func endsInComment(text []byte) bool {
+	last := text[bytes.LastIndexByte(text, '\n')+1:]
+	return bytes.Contains(last, []byte("//"))
+}
+
 func checkName(n scanner.Node) { _, _ = n.Name() }
--- a/internal/settings/loader/addresses.go
+++ b/internal/settings/loader/addresses.go
@@ -20,36 +20,44 @@
 	}
 	a, ok := n.Address()
 	if ok {
-		u.use(n, a)
+		u.use(n, a, clash)
 	}
 	return a
 }
 
-// inner reads the address of the inner service.
+// inner reads the address of the inner service, which this host listens on
+// besides listen.
 func (u *addresses) inner(o scanner.Object) netip.AddrPort {
 	n, ok := o.Need("inner")
 	if !ok {
 		return netip.AddrPort{}
 	}
 	a, ok := n.Address()
-	if ok {
-		u.remote(n, a)
+	if ok && reachable(n, a) {
+		u.use(n, a, clash)
 	}
 	return a
 }
 
-// remote takes an address that other hosts connect to.
+// remote takes an address of another host.
 func (u *addresses) remote(n scanner.Node, a netip.AddrPort) {
+	if reachable(n, a) {
+		u.use(n, a, same)
+	}
+}
+
+// reachable reports a fault if other hosts cannot connect to a.
+func reachable(n scanner.Node, a netip.AddrPort) bool {
 	if a.Addr().IsUnspecified() || a.Addr().IsMulticast() {
 		n.Fault("%s cannot be reached by other hosts", a)
-		return
+		return false
 	}
-	u.use(n, a)
+	return true
 }
 
-func (u *addresses) use(n scanner.Node, a netip.AddrPort) {
+func (u *addresses) use(n scanner.Node, a netip.AddrPort, clashes func(a, b netip.AddrPort) bool) {
 	for _, b := range u.seen {
-		if clash(a, b) {
+		if clashes(a, b) {
 			n.Fault("%s is already used in this file as %s", a, b)
 			return
 		}
@@ -57,7 +65,12 @@
 	u.seen = append(u.seen, a)
 }
 
+func same(a, b netip.AddrPort) bool { return a == b }
+
 // clash reports whether one host cannot listen on both addresses.
 func clash(a, b netip.AddrPort) bool {
-	return a == b
+	if a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
 }
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/settings/scanner"
+	"gentianpond/internal/value/container"
 )
 
 // ErrInvalid is the sentinel for a settings file with faults. The error is a
@@ -173,25 +174,23 @@
 	}
 	warnCount(n, len(nodes))
 	var list []Host
-	names := map[string]bool{}
-	zones := map[string]bool{}
+	var names, zones container.Set[string]
 	for _, n := range nodes {
 		o, ok := n.Object("name", "zone", "address")
 		if !ok {
 			continue
 		}
 		h := parseHost(o, self, used)
-		if h.Name != "" && names[h.Name] {
+		if !names.Add(h.Name) && h.Name != "" {
 			n.Fault("host %q is listed twice", h.Name)
 		}
-		names[h.Name] = true
-		if h.Zone != "" && zones[h.Zone] {
+		if !zones.Add(h.Zone) && h.Zone != "" {
 			n.Warn("zone %q holds more than one control host; the loss of the zone takes them all", h.Zone)
 		}
-		zones[h.Zone] = true
 		list = append(list, h)
 	}
-	if self.Name != "" && !names[self.Name] {
+	// An entry without a valid name may be the one that is missed.
+	if self.Name != "" && !names.Has(self.Name) && !names.Has("") {
 		n.Fault("this host, %q, is not among the hosts", self.Name)
 	}
 	return list
@@ -199,24 +198,22 @@
 
 func parseHost(o scanner.Object, self Control, used *addresses) Host {
 	h := Host{Name: needName(o, "name"), Zone: needName(o, "zone")}
+	own := h.Name != "" && h.Name == self.Name
+	if n, ok := o.Field("zone"); ok && own && h.Zone != "" && self.Zone != "" && h.Zone != self.Zone {
+		n.Fault("this host's zone is %q here and %q in \"zone\"", h.Zone, self.Zone)
+	}
 	n, ok := o.Need("address")
 	if !ok {
 		return h
 	}
 	h.Address, ok = n.Address()
-	if !ok {
-		return h
-	}
-	if h.Name != self.Name {
+	switch {
+	case !ok:
+	case !own:
 		used.remote(n, h.Address)
-		return h
-	}
-	if self.Inner.IsValid() && h.Address != self.Inner {
+	case self.Inner.IsValid() && h.Address != self.Inner:
 		n.Fault("this host's address is %s here and %s in \"inner\"", h.Address, self.Inner)
 	}
-	if z, ok := o.Field("zone"); ok && h.Zone != "" && self.Zone != "" && h.Zone != self.Zone {
-		z.Fault("this host's zone is %q here and %q in \"zone\"", h.Zone, self.Zone)
-	}
 	return h
 }
 
@@ -225,7 +222,7 @@
 	case count == 0:
 		n.Fault("no control host is listed")
 	case count < fewestControl:
-		n.Warn("%d control hosts do not outlive the loss of one; use %d or 5", count, fewestControl)
+		n.Warn("fewer than %d control hosts do not outlive the loss of one", fewestControl)
 	case count%2 == 0:
 		n.Warn("%d control hosts outlive no more losses than %d", count, count-1)
 	}
--- a/internal/settings/scanner/node.go
+++ b/internal/settings/scanner/node.go
@@ -111,7 +111,7 @@
 			continue
 		}
 		if seen[name] {
-			key.Fault("%q is given twice", name)
+			key.Fault("%q is given twice", shorten(name))
 			continue
 		}
 		seen[name] = true
@@ -140,7 +140,7 @@
 	o := Object{node: n, fields: map[string]Node{}}
 	for _, m := range members {
 		if !known[m.Name] {
-			m.Key.Fault("%q is not a known field", m.Name)
+			m.Key.Fault("%q is not a known field", shorten(m.Name))
 			continue
 		}
 		o.fields[m.Name] = m.Value
@@ -241,7 +241,7 @@
 	}
 	v, err := strconv.ParseUint(string(lit), 10, 64)
 	if err != nil {
-		n.Fault("%s is not a whole number from %d to %d", lit, low, high)
+		n.Fault("%s is not a whole number from %d to %d", shorten(string(lit)), low, high)
 		return 0, false
 	}
 	if v < low || v > high {
@@ -259,7 +259,7 @@
 	}
 	v, err := strconv.ParseFloat(string(lit), 64)
 	if err != nil || math.IsInf(v, 0) || v < low || v > high {
-		n.Fault("%s is not from %v to %v", lit, low, high)
+		n.Fault("%s is not from %v to %v", shorten(string(lit)), low, high)
 		return 0, false
 	}
 	return v, true
--- a/internal/settings/scanner/scanner.go
+++ b/internal/settings/scanner/scanner.go
@@ -53,7 +53,8 @@
 		s.fault(at, "values are nested deeper than %d levels", maxDepth)
 		return s, Node{}
 	}
-	v, err := hujson.Parse(text)
+	// The parser takes a line comment for cut off unless its line ends.
+	v, err := hujson.Parse(append(text[:len(text):len(text)], '\n'))
 	if err != nil {
 		at, what := s.locate(err)
 		s.fault(at, "%s", what)
--- a/internal/settings/sizer/sizer.go
+++ b/internal/settings/sizer/sizer.go
@@ -107,7 +107,10 @@
 		return w
 	}
 	seen := map[string]bool{}
-	nodes, _ := n.Array()
+	nodes, ok := n.Array()
+	if ok && len(nodes) == 0 {
+		n.Fault("no application is listed")
+	}
 	for _, n := range nodes {
 		fields, ok := n.Object("name", "instances", "searchers", "slots", "connections", "connect")
 		if !ok {
--- a/internal/settings/sizer/sizer_test.go
+++ b/internal/settings/sizer/sizer_test.go
@@ -1,16 +1,36 @@
 package sizer
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
+	"github.com/cockroachdb/datadriven"
 	"github.com/stretchr/testify/require"
 
 	"gentianpond/internal/settings/checker"
 	"gentianpond/internal/settings/loader"
 )
 
+// TestFaults guards against a workload that is accepted with faults, and
+// against searchers that change when the way they are listed does.
+func TestFaults(t *testing.T) {
+	datadriven.RunTest(t, "testdata/workloads", func(t *testing.T, d *datadriven.TestData) string {
+		w, err := Parse("", []byte(d.Input))
+		if err != nil {
+			require.ErrorIs(t, err, ErrInvalid)
+			return err.Error() + "\n"
+		}
+		var out strings.Builder
+		for _, s := range w.Searchers() {
+			fmt.Fprintf(&out, "%+v\n", s)
+		}
+		return out.String()
+	})
+}
+
 const examples = "../../../examples"
 
 // TestExamples guards against example files that the programs refuse, and
