Test zone summaries and restarted hosts between trackers

Zone summaries need 32 draining servers, so the property test over several tables never saw one, and no host of it restarted. The least number is now drawn from 1 to 3 in the test, and hosts lose their table.

--- a/internal/fleet/tracker/share.go
+++ b/internal/fleet/tracker/share.go
@@ -17,8 +17,8 @@
 	// MaxShare bounds the bytes of one Share unless a single announcement
 	// exceeds it; the rest follows with the next call.
 	MaxShare = 16 << 10
-	// summaryLeast is the number of servers of one zone that must go within
-	// one Share for a zone summary.
+	// summaryLeast is the number of servers of one zone that must drain
+	// within one Share for a zone summary.
 	summaryLeast = 32
 	// digestBits is the size of the content digest in a renewal. It fits in
 	// three bytes of the encoding.
@@ -114,6 +114,10 @@
 // summary covers, only those heard directly remain among the items: they make
 // the receiver's state exact, and their number is paged like any other.
 func (t *Table) summarize(items []item) ([]*messenger.Shared, []item) {
+	least := t.summaryLeast
+	if least == 0 {
+		least = summaryLeast
+	}
 	gone := map[string]int{}
 	for _, it := range items {
 		if it.record.known && it.record.Draining {
@@ -122,7 +126,7 @@
 	}
 	var zones []string
 	for zone, n := range gone {
-		if n >= summaryLeast {
+		if n >= least {
 			zones = append(zones, zone)
 		}
 	}
--- a/internal/fleet/tracker/table.go
+++ b/internal/fleet/tracker/table.go
@@ -112,6 +112,9 @@
 	// gap is true when a renewal arrived for content that is not known.
 	gap      bool
 	repaired time.Time
+	// summaryLeast replaces the constant unless it is 0, for tests with few
+	// servers.
+	summaryLeast int
 }
 
 // Version returns a number that grows whenever the usable set or what its
--- a/internal/fleet/tracker/world_test.go
+++ b/internal/fleet/tracker/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,13 +73,15 @@
 	replies []reply
 	sights  []map[string]sight
 	calm    bool
+	// least is the number of draining servers that make a zone summary.
+	least int
 }
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, now: epoch}
+	w := &world{t: t, now: epoch, least: rapid.IntRange(1, 3).Draw(t, "summary")}
 	hosts := rapid.IntRange(2, 4).Draw(t, "hosts")
 	for range hosts {
-		w.tables = append(w.tables, &Table{})
+		w.tables = append(w.tables, &Table{summaryLeast: w.least})
 		w.since = append(w.since, make([]uint64, hosts))
 		w.cut = append(w.cut, false)
 		w.sights = append(w.sights, map[string]sight{})
@@ -150,9 +153,23 @@
 		w.cut[host] = false
 	case 8, 9, 10, 11:
 		w.replay(host)
+	case 12:
+		w.restart(host)
 	}
 }
 
+// restart replaces the process of a host, which loses its table and every
+// reply from and to it; its peers start again from 0.
+func (w *world) restart(host int) {
+	w.tables[host] = &Table{summaryLeast: w.least}
+	w.sights[host] = map[string]sight{}
+	for peer := range w.tables {
+		w.since[host][peer] = 0
+		w.since[peer][host] = 0
+	}
+	w.replies = slices.DeleteFunc(w.replies, func(r reply) bool { return r.to == host || r.from == host })
+}
+
 // later states the order of announcements apart from the code under test.
 func later(a Announcement, incarnation, sequence uint64) bool {
 	return a.Incarnation > incarnation || (a.Incarnation == incarnation && a.Sequence > sequence)
