Send the view only to hosts that do not have it

Cause: each sync reply held the whole view. Change: the reply holds the view only when the request's adopted view is older. A confirmed departure is answered as granted, which the leaving host waits for. The roster test gives its hosts addresses: the keeper now refuses members without one.

--- a/internal/control/server/roster_test.go
+++ b/internal/control/server/roster_test.go
@@ -35,6 +35,10 @@
 }
 
 // entryModel is one entry host in the roster's property test.
+// hostAddress stands for the address of every host: the keeper takes no member
+// without one.
+const hostAddress = "127.0.0.1:9080"
+
 type entryModel struct {
 	member   *messenger.Member
 	synced   time.Duration // by any leader
@@ -69,7 +73,7 @@
 func (m *rosterModel) sync() {
 	h := rapid.SampledFrom(m.hosts).Draw(m.t, "host")
 	if h.member.GetIncarnation() > 1 && rapid.IntRange(0, 3).Draw(m.t, "late") == 0 {
-		late := &messenger.Member{Name: h.member.GetName(), Incarnation: h.member.GetIncarnation() - 1}
+		late := &messenger.Member{Name: h.member.GetName(), Address: hostAddress, Incarnation: h.member.GetIncarnation() - 1}
 		// A host that was silent for longer is forgotten, and with it which
 		// incarnations are old.
 		if h.heard >= 0 && m.now-h.heard < removal {
@@ -78,7 +82,7 @@
 		return
 	}
 	if rapid.IntRange(0, 9).Draw(m.t, "restart") == 0 {
-		h.member = &messenger.Member{Name: h.member.GetName(), Incarnation: h.member.GetIncarnation() + 1}
+		h.member = &messenger.Member{Name: h.member.GetName(), Address: hostAddress, Incarnation: h.member.GetIncarnation() + 1}
 		h.released = 0
 	}
 	released := rapid.Uint64Range(0, m.keeper.View().GetNumber()).Draw(m.t, "released")
@@ -127,7 +131,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := &rosterModel{t: t, keeper: keeper.New(nil)}
 		for i := range 3 {
-			m.hosts = append(m.hosts, &entryModel{member: &messenger.Member{Name: fmt.Sprint("host-", i), Incarnation: 1}})
+			m.hosts = append(m.hosts, &entryModel{member: &messenger.Member{Name: fmt.Sprint("host-", i), Address: hostAddress, Incarnation: 1}})
 		}
 		m.now = time.Hour
 		m.elect()
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -141,7 +141,7 @@
 			return
 		}
 		reply := l.keeper.Sync(r, time.Now())
-		reply.Settled = l.roster.settled(reply.GetView())
+		reply.Settled = l.roster.settled(l.keeper.View())
 		member, ok := l.keeper.Member(r.GetMember().GetName())
 		if ok && member.GetIncarnation() == r.GetMember().GetIncarnation() {
 			reply.Granted = true
@@ -161,7 +161,9 @@
 			done(nil, proposeError(err))
 			return
 		}
-		done(l.keeper.Sync(r, time.Now()), nil)
+		reply := l.keeper.Sync(r, time.Now())
+		reply.Granted = true
+		done(reply, nil)
 	})
 }
 
