--- a/internal/control/server/bench_test.go
+++ b/internal/control/server/bench_test.go
@@ -41,11 +41,12 @@
 	require.NotZero(b, reply.GetVerdict())
 }
 
-// BenchmarkSync measures confirmed sync replies to callers in parallel.
+// BenchmarkSync measures confirmed sync replies to many callers in parallel.
 func BenchmarkSync(b *testing.B) {
 	g, leader := started(b)
 	c := g.client(leader)
 	request := &messenger.SyncRequest{Member: &messenger.Member{Name: "entry", Address: "127.0.0.1:1", Incarnation: 1}}
+	b.SetParallelism(20)
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			reply, err := c.Sync(b.Context(), request)
--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -76,8 +76,8 @@
 	repair string
 	// members is the membership that was logged last.
 	members string
-	// snapshot is the applied index at the last snapshot.
-	snapshot uint64
+	// snapshot is the last snapshot or the last attempt at one.
+	snapshot snapshotMark
 	round    time.Duration
 	dutyAt   time.Duration
 	greetAt  time.Duration
@@ -101,7 +101,7 @@
 		reads:    map[uint64]func(bool){},
 		roster:   newRoster(0),
 		hellos:   hellos{},
-		snapshot: snapshot.Index,
+		snapshot: snapshotMark{index: snapshot.Index, size: len(snapshot.Data)},
 	}
 	if snapshot.Index > 0 {
 		if err := l.keeper.Restore(snapshot.Data); err != nil {
@@ -239,7 +239,7 @@
 		if err := l.keeper.Restore(r.Snapshot.Data); err != nil {
 			return errors.Wrap(err, "restore snapshot from the leader")
 		}
-		l.snapshot = r.Snapshot.Index
+		l.snapshot = snapshotMark{index: r.Snapshot.Index, size: len(r.Snapshot.Data)}
 		l.log.Info("restored a snapshot from the leader", "index", r.Snapshot.Index, "bytes", len(r.Snapshot.Data))
 	}
 	for _, e := range r.Committed {
@@ -251,6 +251,7 @@
 }
 
 func (l *loop) applyEntry(e replicator.Entry) error {
+	l.snapshot.grown += len(e.Data)
 	var result keeper.Result
 	if e.Kind == replicator.EntryNormal {
 		result = l.keeper.Apply(e.Index, e.Data)
@@ -290,18 +291,18 @@
 	}
 }
 
-// compact makes a snapshot after enough entries. On a full disk the log is
-// kept and the next attempt is made after as many entries again.
+// compact makes a snapshot when one is due. On a full disk the log is
+// kept and the next attempt is made when another snapshot would be due.
 func (l *loop) compact() error {
 	applied := l.core.State().Applied
-	if applied < l.snapshot+l.settings.SnapshotEvery {
+	if !l.snapshot.due(applied, l.settings.SnapshotEvery) {
 		return nil
 	}
-	l.snapshot = applied
 	data, err := l.keeper.Snapshot()
 	if err != nil {
 		return err
 	}
+	l.snapshot = snapshotMark{index: applied, size: len(data)}
 	snapshot, err := l.core.Compact(applied, data)
 	if err != nil {
 		return errors.Wrap(err, "compact log")
--- a/internal/control/server/roster_test.go
+++ b/internal/control/server/roster_test.go
@@ -145,3 +145,20 @@
 		}
 	})
 }
+
+// Guards against stopping the loop for a large snapshot after few entries, and
+// against a log that grows without bound.
+func TestSnapshotDue(t *testing.T) {
+	for _, c := range []struct {
+		mark    snapshotMark
+		applied uint64
+		due     bool
+	}{
+		{snapshotMark{index: 5, size: 100, grown: 9000}, 1004, false},
+		{snapshotMark{index: 5, size: 100, grown: 10}, 1005, true},
+		{snapshotMark{index: 5, size: 14 << 20, grown: 1 << 20}, 1005, false},
+		{snapshotMark{index: 5, size: 14 << 20, grown: 14 << 20}, 90000, true},
+	} {
+		require.Equal(t, c.due, c.mark.due(c.applied, 1000), "%+v at %d", c.mark, c.applied)
+	}
+}
--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -15,6 +15,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -174,13 +175,15 @@
 
 // change replaces the section of a team at the leader.
 func (g *group) change(leader, id, team string, version uint64) *messenger.ChangeReply {
-	reply, err := g.client(leader).Change(g.t.Context(), &messenger.ChangeRequest{
-		Id: id, Team: team, Version: version, Section: []byte("{} // " + id + "\n"), Author: "test",
-	})
+	reply, err := g.client(leader).Change(g.t.Context(), section(id, team, version))
 	require.NoError(g.t, err)
 	return reply
 }
 
+func section(id, team string, version uint64) *messenger.ChangeRequest {
+	return &messenger.ChangeRequest{Id: id, Team: team, Version: version, Section: []byte("{} // " + id + "\n"), Author: "test"}
+}
+
 func (g *group) show(name string) *messenger.ShowReply {
 	reply, err := g.client(name).Show(g.t.Context(), &messenger.ShowRequest{})
 	require.NoError(g.t, err)
@@ -289,9 +292,20 @@
 	g.form("a")
 	g.start("a")
 	leader := g.leader(3)
-	for i := range uint64(500) {
-		require.Equal(t, "accepted", g.change(leader, fmt.Sprint("id-", i), fmt.Sprint("team-", i%10), i/10).GetCode())
+	var teams errgroup.Group
+	for i := range 10 {
+		c := g.client(leader)
+		teams.Go(func() error {
+			for version := range uint64(50) {
+				reply, err := c.Change(t.Context(), section(fmt.Sprint("id-", i, "-", version), fmt.Sprint("team-", i), version))
+				if err != nil || reply.GetCode() != "accepted" {
+					return fmt.Errorf("change %d of team %d: %v, %w", version, i, reply, err)
+				}
+			}
+			return nil
+		})
 	}
+	require.NoError(t, teams.Wait())
 	for _, h := range g.hosts {
 		require.NoError(t, g.stop(h.Name))
 	}
@@ -303,7 +317,7 @@
 	reply := g.show(leader)
 	require.Equal(t, uint64(500), reply.GetRevision())
 	require.Len(t, reply.GetSections(), 10)
-	require.True(t, g.change(leader, "id-499", "team-9", 49).GetRepeat())
+	require.True(t, g.change(leader, "id-9-49", "team-9", 49).GetRepeat())
 }
 
 // Guards against an isolated leader's answering as current.
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -52,7 +52,12 @@
 	reply := make(chan outcome, 1)
 	work := func(l *loop) {
 		if ctx.Err() == nil {
-			start(l, func(v T, err error) { reply <- outcome{v, err} })
+			start(l, func(v T, err error) {
+				select {
+				case reply <- outcome{v, err}:
+				default: // a second answer must not block the loop
+				}
+			})
 		}
 	}
 	select {
--- a/internal/control/server/settings.go
+++ b/internal/control/server/settings.go
@@ -36,8 +36,8 @@
 	Data string
 	// Hosts are all control hosts, this one included.
 	Hosts []repairer.Host
-	// SnapshotEvery is the number of applied entries between snapshots; 0 is
-	// 1,000.
+	// SnapshotEvery is the least number of applied entries between snapshots;
+	// 0 is 1,000. Snapshots of more than 1 MB are made less often.
 	SnapshotEvery uint64
 	// Check returns all faults of a configuration document. It must be the
 	// same on all hosts; nil accepts every document.
--- a/internal/control/server/store.go
+++ b/internal/control/server/store.go
@@ -68,3 +68,23 @@
 	}
 	return entries
 }
+
+// smallSnapshot is the size in bytes up to which a snapshot takes the loop a
+// few milliseconds only.
+const smallSnapshot = 1 << 20
+
+// snapshotMark is where the last snapshot was made.
+type snapshotMark struct {
+	index uint64
+	// size is that of the snapshot and grown that of the entries applied since,
+	// in bytes.
+	size  int
+	grown int
+}
+
+// due reports whether every entries were applied since the last snapshot. A
+// snapshot of a full order ledger takes the loop a quarter of a second, so a
+// large one waits until the log has grown as much as the snapshot holds.
+func (m snapshotMark) due(applied, every uint64) bool {
+	return applied >= m.index+every && (m.size <= smallSnapshot || m.grown >= m.size)
+}
