Use ports that outgoing connections do not take in the server's tests

A host that restarted in a test sometimes found its port taken: it came from the range from which the system takes the ports of outgoing connections.

The tests count up from a port below that range.

--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,11 +50,7 @@
 func newGroup(t testing.TB, names ...string) *group {
 	g := &group{t: t, root: t.TempDir(), nodes: map[string]*node{}, cut: map[string]bool{}}
 	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		addr := netip.MustParseAddrPort(l.Addr().String())
-		require.NoError(t, l.Close())
-		g.hosts = append(g.hosts, repairer.Host{Name: name, Zone: "zone-" + name, Address: addr})
+		g.hosts = append(g.hosts, repairer.Host{Name: name, Zone: "zone-" + name, Address: freeAddress(t)})
 	}
 	t.Cleanup(func() {
 		for name := range g.nodes {
@@ -63,6 +60,23 @@
 	return g
 }
 
+// ports counts up from a port that differs between test processes. It stays
+// below the range from which the system takes the ports of outgoing
+// connections: one of those could take the port of a host that is restarting.
+var ports atomic.Int64
+
+func init() { ports.Store(10000 + int64(os.Getpid()%700)*30) }
+
+func freeAddress(t testing.TB) netip.AddrPort {
+	for {
+		addr := fmt.Sprintf("127.0.0.1:%d", ports.Add(1))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			require.NoError(t, l.Close())
+			return netip.MustParseAddrPort(addr)
+		}
+	}
+}
+
 func (g *group) settings(name string) Settings {
 	s := Settings{Name: name, Zone: "zone-" + name, Data: filepath.Join(g.root, name), Hosts: g.hosts, SnapshotEvery: g.every}
 	h, _ := s.host(name)
