Forget idle servers in the dispatch rules

Released now forgets servers with nothing in flight; the next dispatch decides and notes them again. Usable sorts names in place of whole records.

--- a/internal/fleet/assigner/rules.go
+++ b/internal/fleet/assigner/rules.go
@@ -144,15 +144,20 @@
 	if r.adopted == nil {
 		return 0
 	}
+	taken := false
 	for t := range r.granted {
-		if r.owns(r.adopted, t) {
-			continue
+		switch {
+		case !inFlight(t.server):
+			// The next MayDispatch decides and notes it again, so servers that
+			// are gone are not kept.
+			delete(r.granted, t)
+			delete(r.permitted, t)
+		case !r.owns(r.adopted, t):
+			taken = true
 		}
-		if inFlight(t.server) {
-			return r.released
-		}
-		delete(r.granted, t)
 	}
-	r.released = r.adopted.View.Number
+	if !taken {
+		r.released = r.adopted.View.Number
+	}
 	return r.released
 }
--- a/internal/fleet/assigner/rules_test.go
+++ b/internal/fleet/assigner/rules_test.go
@@ -125,6 +125,11 @@
 		require.Equal(t, uint64(1), released())
 		busy[lost] = false
 		require.Equal(t, uint64(2), released(), "work to a server that is kept holds up nothing")
+		busy[kept] = false
+		released()
+		require.Empty(t, r.granted, "idle servers are not kept")
+		require.True(t, may(&r, kept))
+		require.Len(t, r.granted, 1, "work that starts again is noted again")
 	})
 }
 
--- a/internal/fleet/tracker/table.go
+++ b/internal/fleet/tracker/table.go
@@ -312,14 +312,16 @@
 // The slices within the result are shared and must not be changed.
 func (t *Table) Usable(now time.Time) []Server {
 	t.Expire(now)
-	var servers []Server
-	for _, r := range t.records {
+	var names []string
+	for name, r := range t.records {
 		if r.usable {
-			servers = append(servers, r.Server)
+			names = append(names, name)
 		}
 	}
-	sort.Slice(servers, func(i, j int) bool {
-		return servers[i].Server < servers[j].Server
-	})
+	sort.Strings(names)
+	servers := make([]Server, 0, len(names))
+	for _, name := range names {
+		servers = append(servers, t.records[name].Server)
+	}
 	return servers
 }
