--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -223,22 +223,37 @@
 	snap := c.snapshot
 	c.log = entryLog{base: snap.Index, baseTerm: snap.Term, stable: snap.Index, written: snap.Index}
 	c.members.reset(snap.Index, snap.Members)
-	entries = afterSnapshot(entries, snap)
-	if len(entries) == 0 {
+	rest := afterSnapshot(entries, snap)
+	if len(rest) == 0 {
+		c.resumeInstall(entries)
 		return nil
 	}
-	if err := checkEntries(entries, snap.Index, snap.Term); err != nil {
+	if err := checkEntries(rest, snap.Index, snap.Term); err != nil {
 		return errors.Wrapf(ErrCorrupt, "load: %v", err)
 	}
-	sets, err := memberEntries(entries)
+	sets, err := memberEntries(rest)
 	if err != nil {
 		return errors.Wrapf(ErrCorrupt, "load: %v", err)
 	}
-	c.append(entries, sets)
+	c.append(rest, sets)
 	c.log.persisted(c.log.last())
 	return nil
 }
 
+// resumeInstall repeats the installation of the snapshot in the first Ready if
+// the log on disk cannot be extended by the entry after the snapshot: the
+// process stopped before it dropped the log that the snapshot replaces.
+func (c *Core) resumeInstall(entries []Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	last := entries[len(entries)-1]
+	if last.Index != c.snapshot.Index || last.Term != c.snapshot.Term {
+		snap := c.snapshot
+		c.installing = &snap
+	}
+}
+
 // afterSnapshot drops the entries that the snapshot covers, and all of them if
 // they belong to a log that the snapshot replaced.
 func afterSnapshot(entries []Entry, snap Snapshot) []Entry {
--- a/internal/control/replicator/core_test.go
+++ b/internal/control/replicator/core_test.go
@@ -277,10 +277,30 @@
 		"falling term":     {Config{ID: 1, Rand: random, Snapshot: snap, Entries: []Entry{{Index: 6, Term: 1}}}, ErrCorrupt},
 		"lost entries":     {Config{ID: 1, Rand: random, Snapshot: snap, HardState: HardState{Commit: 6}}, ErrCorrupt},
 		"bad membership":   {Config{ID: 1, Rand: random, Entries: []Entry{{Index: 1, Kind: EntryMembers}}}, ErrCorrupt},
-		"replaced log":     {Config{ID: 1, Rand: random, Snapshot: snap, Entries: []Entry{{Index: 5, Term: 1}, {Index: 6, Term: 1}}}, nil},
 		"empty folder":     {Config{ID: 1, Rand: random}, nil},
 	} {
 		_, err := New(tt.cfg)
 		require.ErrorIs(t, err, tt.want, name)
 	}
 }
+
+// Guards against extending a log that a snapshot was about to replace when the
+// process stopped.
+func TestInterruptedInstall(t *testing.T) {
+	snap := Snapshot{Index: 5, Term: 2}
+	for name, tt := range map[string]struct {
+		entries []Entry
+		again   bool
+	}{
+		"no log":         {nil, false},
+		"short log":      {[]Entry{{Index: 4, Term: 1}}, true},
+		"other log":      {[]Entry{{Index: 5, Term: 1}, {Index: 6, Term: 1}}, true},
+		"compacted log":  {[]Entry{{Index: 4, Term: 1}, {Index: 5, Term: 2}}, false},
+		"continuing log": {[]Entry{{Index: 5, Term: 2}, {Index: 6, Term: 2}}, false},
+	} {
+		c, err := New(Config{ID: 1, Rand: rand.New(rand.NewPCG(1, 1)), Snapshot: snap, Entries: tt.entries})
+		require.NoError(t, err, name)
+		require.Equal(t, tt.again, work(c).Snapshot != nil, name)
+		require.Nil(t, c.Ready().Snapshot, name)
+	}
+}
--- a/internal/control/replicator/faults_test.go
+++ b/internal/control/replicator/faults_test.go
@@ -21,7 +21,9 @@
 	total := map[string]int{}
 	schedules := 0
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(t, rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size"))
+		size := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "size")
+		formed := rapid.SampledFrom([]int{size, size, 1}).Draw(t, "formed")
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), size, formed)
 		s.run(400 * time.Millisecond)
 		t.Repeat(faults(s))
 		s.recover()
@@ -36,7 +38,7 @@
 // faults returns the actions of a schedule. The sum of all choices except the
 // order of actions comes from the seed of the simulation.
 func faults(s *sim) map[string]func(*rapid.T) {
-	pick := func(t *rapid.T) *host { return rapid.SampledFrom(s.hosts).Draw(t, "host") }
+	pick := func(t *rapid.T) *host { return s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")] }
 	return map[string]func(*rapid.T){
 		"": func(*rapid.T) { s.run(20 * time.Millisecond) },
 		"run": func(t *rapid.T) {
@@ -121,7 +123,8 @@
 func TestReturn(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(t, rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 5}).Draw(t, "size"))
+		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), size, size)
 		s.run(500 * time.Millisecond)
 		l := s.leader()
 		if l == nil {
@@ -151,7 +154,8 @@
 func TestIsolatedLeader(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(t, rapid.Uint64().Draw(t, "seed"), rapid.SampledFrom([]int{3, 5}).Draw(t, "size"))
+		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), size, size)
 		s.run(500 * time.Millisecond)
 		old := s.leader()
 		s.isolate(old)
@@ -181,7 +185,7 @@
 func TestSecondLoss(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(t, rapid.Uint64().Draw(t, "seed"), 3)
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), 3, 3)
 		s.loss = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss")
 		s.run(500 * time.Millisecond)
 		s.burst(rapid.IntRange(1, 30).Draw(t, "writes"))
--- a/internal/control/replicator/ready.go
+++ b/internal/control/replicator/ready.go
@@ -23,7 +23,8 @@
 	// MustSync is set when something has to be durable before Messages are
 	// sent. A hard state in which only Commit moved need not be.
 	MustSync bool
-	// Snapshot is a received snapshot to install, or nil.
+	// Snapshot is a snapshot to install, or nil. It has been received, or it
+	// is that of Config when its installation was interrupted.
 	Snapshot *Snapshot
 	// Entries are to be appended to the log on disk.
 	Entries []Entry
--- a/internal/control/replicator/sim_test.go
+++ b/internal/control/replicator/sim_test.go
@@ -147,7 +147,9 @@
 	voters    map[uint64]bool // ids that a leader has made voters
 }
 
-func newSim(t failer, seed uint64, size int) *sim {
+// newSim starts size hosts, of which the first formed ones are the voters of a
+// group and the others have empty folders.
+func newSim(t failer, seed uint64, size, formed int) *sim {
 	s := &sim{
 		t:         t,
 		rng:       rand.New(rand.NewPCG(seed, 0)),
@@ -164,12 +166,16 @@
 	first := replicator.Snapshot{Index: 1, Term: 1, Data: []byte("0")}
 	for i := range size {
 		h := &host{name: fmt.Sprintf("h%d", i), disk: disk{id: uint64(i + 1)}, writes: -1}
-		s.voters[h.disk.id] = true
-		first.Members = append(first.Members, replicator.Member{ID: h.disk.id, Name: h.name, Voter: true})
+		if i < formed {
+			s.voters[h.disk.id] = true
+			first.Members = append(first.Members, replicator.Member{ID: h.disk.id, Name: h.name, Voter: true})
+		}
 		s.hosts = append(s.hosts, h)
 	}
-	for _, h := range s.hosts {
-		h.disk.snap = first
+	for i, h := range s.hosts {
+		if i < formed {
+			h.disk.snap = first
+		}
 		s.start(h)
 	}
 	return s
