Take the settled flag from replies without a view

Cause: since the view is only sent when it is newer, most replies have none, and the subscriber left the settled flag as it was: no view ever settled on the entry hosts and no search found an owner. Ruled out: the roster's cached look at the view (settled on the leader). Change: a reply without a view speaks of the view that the request named.

--- a/internal/control/keeper/sync.go
+++ b/internal/control/keeper/sync.go
@@ -11,8 +11,9 @@
 // Sync returns the part of a sync reply that comes from the replicated state:
 // the view, the configuration and the quarantine where they are newer than the
 // request's. A view lists every entry host, so that sending it each time would
-// cost each host bytes in proportion to their number. The leader adds the lease and whether the view is settled,
-// and answers only after read confirmation. Now is the leader's time.
+// cost each host bytes in proportion to their number. The leader adds the
+// lease and whether the view is settled, and answers only after read
+// confirmation. Now is the leader's time.
 func (k *Keeper) Sync(r *messenger.SyncRequest, now time.Time) *messenger.SyncReply {
 	if now.Before(k.now) {
 		now = k.now
--- a/internal/control/subscriber/sync.go
+++ b/internal/control/subscriber/sync.go
@@ -140,10 +140,8 @@
 		state.QuarantineRevision = reply.Quarantine
 		state.Quarantine = quarantineOf(reply, received)
 	}
-	if reply.View == nil {
-		return state, nil
-	}
-	if reply.View.Number > state.View.Number {
+	// Without a view the reply speaks of the one that the request named.
+	if reply.View.GetNumber() > state.View.Number {
 		state.View = viewOf(reply.View)
 	}
 	state.Settled = reply.Settled
