Skip idle servers in the dispatcher's tick

Cause: every 5 ms each entry host asked the ownership rules and all four queues of every known backend server, owned or not. The search, host and benchmark tests pass.

--- a/internal/search/dispatcher/dispatcher.go
+++ b/internal/search/dispatcher/dispatcher.go
@@ -60,13 +60,16 @@
 	// lease returns the end of this host's lease.
 	lease func() time.Time
 
-	mu      sync.Mutex
-	rules   assigner.Rules
-	servers map[string]*server
-	running map[string]int
-	cancels map[uint64]context.CancelCauseFunc
-	tickets uint64
-	closed  bool
+	mu    sync.Mutex
+	rules assigner.Rules
+	// adoption counts the calls of Adopt, which alone change what rules permit
+	// under a lease.
+	adoption uint64
+	servers  map[string]*server
+	running  map[string]int
+	cancels  map[uint64]context.CancelCauseFunc
+	tickets  uint64
+	closed   bool
 }
 
 // server is one incarnation of one backend server.
@@ -76,6 +79,9 @@
 	limiter *limiter.Limiter
 	waiting map[uint64]chan limiter.Event
 	warm    bool
+	// owned is what the rules said in the given adoption.
+	owned    bool
+	adoption uint64
 }
 
 // New returns a dispatcher for the entry host self, whose lease ends when
@@ -96,6 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rules.Adopt(v, settled)
+	d.adoption++
 }
 
 // Adopted returns the view in use.
@@ -187,7 +194,9 @@
 		}
 	}
 	for _, s := range d.servers {
-		s.deliver(s.limiter.Expire(now))
+		if len(s.waiting) > 0 {
+			s.deliver(s.limiter.Expire(now))
+		}
 		d.keepConnections(ctx, now, s)
 	}
 }
@@ -203,8 +212,18 @@
 	s.warm = owned
 }
 
+// permitted asks the rules once per adoption and server: Tick asks for every
+// server, owned or not, every few milliseconds.
 func (d *Dispatcher) permitted(now time.Time, s *server) bool {
-	return d.rules.MayDispatch(now, s.Server.Server, s.Zone, d.lease())
+	lease := d.lease()
+	if !now.Before(lease) {
+		return false
+	}
+	if s.adoption != d.adoption {
+		s.owned = d.rules.MayDispatch(now, s.Server.Server, s.Zone, lease)
+		s.adoption = d.adoption
+	}
+	return s.owned
 }
 
 // Do waits for a slot of the server, sends the request once and returns what
