End a search when every shard has answered

Cause: a search waited for all sub-requests in flight, the stragglers whose hedges had been answered included, so that hedges cost load and saved nothing. No p99 was below the time of a slow sub-request. Change: the search ends when no shard waits for an answer; what is still in flight is cancelled.

--- a/internal/search/coordinator/handle.go
+++ b/internal/search/coordinator/handle.go
@@ -18,7 +18,6 @@
 		return
 	}
 	delete(q.attempts, r.attempt)
-	q.open--
 	q.finished(time.Now(), a, outcomeOf(r.status))
 	if !r.status.NotStarted() {
 		q.started = true
--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -34,7 +34,6 @@
 	merger   *merger.Merger[[]byte]
 	attempts map[uint64]*attempt
 	shards   []shardState
-	open     int
 	tried    []string
 	guard    guard
 	// started is true once a backend server may have started a sub-request.
@@ -78,7 +77,8 @@
 	q.launch(sub)
 	timer := time.NewTimer(q.delay())
 	defer timer.Stop()
-	for q.open > 0 {
+	// The losers of hedges are not waited for: they are the stragglers.
+	for !q.merger.Done() {
 		select {
 		case r := <-q.replies:
 			q.handle(sub, r)
@@ -103,7 +103,6 @@
 	q.merger = merger.New[[]byte](q.id, s.Version(), s.Count())
 	q.attempts = make(map[uint64]*attempt, s.Count())
 	q.shards = make([]shardState, s.Count())
-	q.open = 0
 	q.guard = guard{alone: q.request.Alone, canary: q.request.Canary || q.request.Alone}
 }
 
@@ -116,7 +115,6 @@
 		q.finished(now, a, selector.Cancelled)
 	}
 	q.attempts = nil
-	q.open = 0
 }
 
 // launch sends the first sub-requests: all shards, or one when the request
@@ -200,7 +198,6 @@
 	state.tried = append(state.tried, name)
 	a := &attempt{shard: shard, server: name, incarnation: b.Incarnation, sent: now, owner: b.Owner, alone: q.guard.lone()}
 	q.attempts[number] = a
-	q.open++
 	return number, a
 }
 
