Hedge again when the budget was empty or the hedge is slow

Cause: a shard counted as hedged when the budget had refused its hedge, and a slow hedge was waited for: with 340 shards and 1 in 100 sub-requests slow, 1 query in 30 has a shard whose hedge is slow too. Change: a shard stays due for a hedge until one was sent, and may get a second one after a further delay, at a replica that was tried if there is no other. Both come from the same budget.

--- /dev/null
+++ b/internal/search/coordinator/hedge_test.go
@@ -0,0 +1,129 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/fleet/assigner"
+	"gentianpond/internal/fleet/tracker"
+	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/search/caller"
+	"gentianpond/internal/settings/checker"
+)
+
+const (
+	fast = 4 * time.Millisecond
+	slow = 300 * time.Millisecond
+)
+
+// owner answers each sub-request after the time that delay gives for the
+// n-th attempt at its shard.
+type owner struct {
+	delay    func(shard uint32, n int) time.Duration
+	mu       sync.Mutex
+	attempts map[uint32]int
+}
+
+func (o *owner) Scan(ctx context.Context, _ assigner.Member, r *messenger.ScanRequest, each func(*messenger.ScanReply)) error {
+	var group sync.WaitGroup
+	var turn sync.Mutex
+	for _, s := range r.GetSubrequests() {
+		o.mu.Lock()
+		delay := o.delay(s.GetShard(), o.attempts[s.GetShard()])
+		o.attempts[s.GetShard()]++
+		o.mu.Unlock()
+		group.Go(func() {
+			select {
+			case <-time.After(delay):
+				turn.Lock()
+				defer turn.Unlock()
+				each(&messenger.ScanReply{Attempt: s.GetAttempt(), Shard: s.GetShard(), Status: uint32(caller.Answered), Snapshot: r.GetSnapshot(), Body: []byte("[]")})
+			case <-ctx.Done():
+			}
+		})
+	}
+	group.Wait()
+	return nil
+}
+
+// newSearch returns a coordinator for 10 shards with 2 replicas each whose
+// hedge delay is settled at the fast latency, and a search of it.
+func newSearch(t *testing.T, o *owner, hedge float64) func() time.Duration {
+	self := assigner.Member{Name: "entry-1", Zone: "zone-1", Incarnation: 1}
+	c := New(self, o, tally.NoopScope)
+	var usable []tracker.Server
+	for i := range 20 {
+		usable = append(usable, tracker.Server{Announcement: tracker.Announcement{
+			Server: fmt.Sprint("searcher-", i), Zone: "zone-1", Incarnation: 1, Slots: 8,
+			Served: []tracker.Served{{Archive: "albums", Snapshot: "1", Count: 10, Shards: []int{i % 10}}},
+		}})
+	}
+	a := checker.DefaultArchive("albums")
+	a.Hedge = hedge
+	document := checker.Document{Sections: []checker.Section{{Team: "counter", Archives: []checker.Archive{a}}}}
+	c.Update(time.Now(), NewDirectory(usable, assigner.View{Number: 1, Members: []assigner.Member{self}}, document))
+	return func() time.Duration {
+		start := time.Now()
+		answer, err := c.Search(t.Context(), Request{Archive: "albums", Deadline: start.Add(time.Second), Body: []byte("1")})
+		require.NoError(t, err)
+		require.True(t, answer.Coverage.Complete())
+		return time.Since(start)
+	}
+}
+
+// Guards against a search that waits for the stragglers that its hedges have
+// replaced, against a shard that is never hedged because the budget was empty
+// at its first turn, and against a hedge that is slow itself deciding the
+// latency.
+func TestHedgeEndsSearch(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		// stragglers is the number of slow shards, slowAttempts that of slow
+		// attempts at each of them.
+		stragglers, slowAttempts int
+		hedge                    float64
+		warm                     int
+	}{
+		{"one straggler", 1, 1, 0.05, 40},
+		{"the hedge is slow too", 1, 2, 0.05, 40},
+		{"an empty budget at first", 1, 1, 0.05, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				stragglers := 0
+				o := &owner{attempts: map[uint32]int{}, delay: func(shard uint32, n int) time.Duration {
+					if int(shard) < stragglers && n < c.slowAttempts {
+						return slow
+					}
+					return fast
+				}}
+				search := newSearch(t, o, c.hedge)
+				for range c.warm {
+					require.Equal(t, fast, search())
+				}
+				stragglers = c.stragglers
+				clear(o.attempts)
+				if c.warm > 0 {
+					require.Less(t, search(), slow/2)
+					return
+				}
+				// One search earns half a token; others earn the rest while
+				// this one waits.
+				var group sync.WaitGroup
+				group.Go(func() { require.Less(t, search(), slow) })
+				time.Sleep(60 * time.Millisecond)
+				stragglers = 0
+				require.Equal(t, fast, search())
+				group.Wait()
+			})
+		})
+	}
+}
--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -20,6 +20,10 @@
 // maxRestarts bounds how often one query starts again on another snapshot.
 const maxRestarts = 3
 
+// maxHedges bounds the hedges of one shard. With 340 shards and 1 in 100
+// sub-requests slow, 1 query in 30 has a shard whose first hedge is slow too.
+const maxHedges = 2
+
 // query is the state of one running search. Only run's goroutine uses it; the
 // goroutines that wait for owners write to replies.
 type query struct {
@@ -52,8 +56,10 @@
 
 // shardState is what was tried for one shard.
 type shardState struct {
-	tried  []string
-	hedged bool
+	tried []string
+	// newest is the attempt sent last.
+	newest *attempt
+	hedges int
 	// withdrawn is true when a replica no longer had the snapshot.
 	withdrawn bool
 }
@@ -168,18 +174,30 @@
 	return unsent
 }
 
+// replica picks the replica for an attempt. A hedge of a shard whose replicas
+// were all tried goes to one of them again: a request that is slow once is
+// rarely slow twice. The coordinator's lock is held.
+func (q *query) replica(now time.Time, shard uint32, why cause) (string, bool) {
+	c := q.coordinator
+	candidates := q.snapshot.Candidates(shard)
+	tried := q.shards[shard].tried
+	if why == first {
+		return c.selector.Choose(now, c.rand, candidates, tried)
+	}
+	name, ok := c.selector.ChooseRetry(now, c.rand, candidates, tried)
+	if !ok && why == hedge {
+		return c.selector.ChooseRetry(now, c.rand, candidates, nil)
+	}
+	return name, ok
+}
+
 // choose picks a replica and registers the attempt. The coordinator's lock is
 // held.
 func (q *query) choose(now time.Time, shard uint32, why cause) (uint64, *attempt) {
 	c := q.coordinator
 	state := &q.shards[shard]
 	h := c.hedgerOf(q.settings)
-	candidates := q.snapshot.Candidates(shard)
-	choose := c.selector.ChooseRetry
-	if why == first {
-		choose = c.selector.Choose
-	}
-	name, ok := choose(now, c.rand, candidates, state.tried)
+	name, ok := q.replica(now, shard, why)
 	if !ok {
 		return 0, nil
 	}
@@ -198,6 +216,10 @@
 	state.tried = append(state.tried, name)
 	a := &attempt{shard: shard, server: name, incarnation: b.Incarnation, sent: now, owner: b.Owner, alone: q.guard.lone()}
 	q.attempts[number] = a
+	state.newest = a
+	if why == hedge {
+		state.hedges++
+	}
 	return number, a
 }
 
@@ -274,8 +296,9 @@
 	return c.hedgerOf(q.settings).Delay(time.Now())
 }
 
-// hedge sends a second sub-request for each shard whose first one has been in
-// flight for the hedge delay.
+// hedge sends another sub-request for each shard whose newest one has been in
+// flight for the hedge delay. A shard that finds the budget empty is looked at
+// again after a further delay.
 func (q *query) hedge(ctx context.Context) {
 	if !q.guard.mayHedge() {
 		return
@@ -285,8 +308,7 @@
 	var late []uint32
 	for _, a := range q.attempts {
 		state := &q.shards[a.shard]
-		if !state.hedged && now.Sub(a.sent) >= delay && !q.merger.Answered(a.shard) {
-			state.hedged = true
+		if a == state.newest && state.hedges < maxHedges && now.Sub(a.sent) >= delay && !q.merger.Answered(a.shard) {
 			late = append(late, a.shard)
 		}
 	}
