Say what an entry host of the benchmark lacks

Cause: a system that did not get ready in time only named the host. Change: the error holds the host's status.

--- a/test/bench/system.go
+++ b/test/bench/system.go
@@ -35,7 +35,7 @@
 // startTimeout bounds the time until a system answers, poll is the pause
 // between two looks.
 const (
-	startTimeout = 30 * time.Second
+	startTimeout = 15 * time.Second
 	poll         = 20 * time.Millisecond
 )
 
@@ -197,7 +197,9 @@
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Errorf("entry host %d is not ready in time", i+1)
+			var s gateway.Status
+			err := x.get(context.WithoutCancel(ctx), x.entries[i], "/v1/status", &s)
+			return errors.Errorf("entry host %d is not ready in time: %v, ready %t, settled %t, view %d, %d members, %d servers, %d archives", i+1, err, s.Ready, s.Settled, s.View, len(s.Members), len(s.Servers), len(s.Archives))
 		case <-time.After(poll):
 		}
 	}
