--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -20,6 +20,10 @@
 // maxRestarts bounds how often one query starts again on another snapshot.
 const maxRestarts = 3
 
+// maxHedges bounds the hedges of one shard. With 340 shards and 1 in 100
+// sub-requests slow, 1 query in 30 has a shard whose first hedge is slow too.
+const maxHedges = 2
+
 // query is the state of one running search. Only run's goroutine uses it; the
 // goroutines that wait for owners write to replies.
 type query struct {
@@ -34,7 +38,6 @@
 	merger   *merger.Merger[[]byte]
 	attempts map[uint64]*attempt
 	shards   []shardState
-	open     int
 	tried    []string
 	guard    guard
 	// started is true once a backend server may have started a sub-request.
@@ -53,8 +56,10 @@
 
 // shardState is what was tried for one shard.
 type shardState struct {
-	tried  []string
-	hedged bool
+	tried []string
+	// newest is the attempt sent last.
+	newest *attempt
+	hedges int
 	// withdrawn is true when a replica no longer had the snapshot.
 	withdrawn bool
 }
@@ -78,7 +83,8 @@
 	q.launch(sub)
 	timer := time.NewTimer(q.delay())
 	defer timer.Stop()
-	for q.open > 0 {
+	// The losers of hedges are not waited for: they are the stragglers.
+	for !q.merger.Done() {
 		select {
 		case r := <-q.replies:
 			q.handle(sub, r)
@@ -103,7 +109,6 @@
 	q.merger = merger.New[[]byte](q.id, s.Version(), s.Count())
 	q.attempts = make(map[uint64]*attempt, s.Count())
 	q.shards = make([]shardState, s.Count())
-	q.open = 0
 	q.guard = guard{alone: q.request.Alone, canary: q.request.Canary || q.request.Alone}
 }
 
@@ -116,7 +121,6 @@
 		q.finished(now, a, selector.Cancelled)
 	}
 	q.attempts = nil
-	q.open = 0
 }
 
 // launch sends the first sub-requests: all shards, or one when the request
@@ -170,18 +174,30 @@
 	return unsent
 }
 
+// replica picks the replica for an attempt. A hedge of a shard whose replicas
+// were all tried goes to one of them again: a request that is slow once is
+// rarely slow twice. The coordinator's lock is held.
+func (q *query) replica(now time.Time, shard uint32, why cause) (string, bool) {
+	c := q.coordinator
+	candidates := q.snapshot.Candidates(shard)
+	tried := q.shards[shard].tried
+	if why == first {
+		return c.selector.Choose(now, c.rand, candidates, tried)
+	}
+	name, ok := c.selector.ChooseRetry(now, c.rand, candidates, tried)
+	if !ok && why == hedge {
+		return c.selector.ChooseRetry(now, c.rand, candidates, nil)
+	}
+	return name, ok
+}
+
 // choose picks a replica and registers the attempt. The coordinator's lock is
 // held.
 func (q *query) choose(now time.Time, shard uint32, why cause) (uint64, *attempt) {
 	c := q.coordinator
 	state := &q.shards[shard]
 	h := c.hedgerOf(q.settings)
-	candidates := q.snapshot.Candidates(shard)
-	choose := c.selector.ChooseRetry
-	if why == first {
-		choose = c.selector.Choose
-	}
-	name, ok := choose(now, c.rand, candidates, state.tried)
+	name, ok := q.replica(now, shard, why)
 	if !ok {
 		return 0, nil
 	}
@@ -200,7 +216,10 @@
 	state.tried = append(state.tried, name)
 	a := &attempt{shard: shard, server: name, incarnation: b.Incarnation, sent: now, owner: b.Owner, alone: q.guard.lone()}
 	q.attempts[number] = a
-	q.open++
+	state.newest = a
+	if why == hedge {
+		state.hedges++
+	}
 	return number, a
 }
 
@@ -277,8 +296,9 @@
 	return c.hedgerOf(q.settings).Delay(time.Now())
 }
 
-// hedge sends a second sub-request for each shard whose first one has been in
-// flight for the hedge delay.
+// hedge sends another sub-request for each shard whose newest one has been in
+// flight for the hedge delay. A shard that finds the budget empty is looked at
+// again after a further delay.
 func (q *query) hedge(ctx context.Context) {
 	if !q.guard.mayHedge() {
 		return
@@ -288,8 +308,7 @@
 	var late []uint32
 	for _, a := range q.attempts {
 		state := &q.shards[a.shard]
-		if !state.hedged && now.Sub(a.sent) >= delay && !q.merger.Answered(a.shard) {
-			state.hedged = true
+		if a == state.newest && state.hedges < maxHedges && now.Sub(a.sent) >= delay && !q.merger.Answered(a.shard) {
 			late = append(late, a.shard)
 		}
 	}
