Send an order through another owner when it provably did not leave

Change: a sending that ended unsent is repeated through another replica until the deadline, each under a number of its own.

--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -21,6 +21,10 @@
 // outcome that never arrives leaves the key unknown, which is true.
 const completeTimeout = 30 * time.Second
 
+// rerouteDelay is the pause before an order that did not leave is sent through
+// another owner. A change of owners takes a few sync intervals.
+const rerouteDelay = 20 * time.Millisecond
+
 // Stored is the ledger's answer.
 type Stored struct {
 	Verdict recorder.Verdict
@@ -117,7 +121,7 @@
 		return e.withoutTarget(ctx, o, attempt, err)
 	}
 	if o.Key == "" {
-		return describe(e.Dispatcher.Run(ctx, target, o, attempt))
+		return describe(e.send(ctx, o, target, attempt))
 	}
 	if a, granted := e.reserve(ctx, o, attempt); !granted {
 		return a
@@ -164,11 +168,40 @@
 		e.complete(o, attempt, a)
 		return a
 	}
-	a := describe(e.Dispatcher.Run(ctx, t, o, attempt))
+	a := describe(e.send(ctx, o, t, attempt))
 	e.complete(o, attempt, a)
 	return a
 }
 
+// send sends an order once. While a change of owners goes on, a sending may
+// fail with the proof that no byte left for a backend server; only then is
+// another one tried, under a number of its own.
+func (e *Executor) send(ctx context.Context, o Order, t Target, attempt string) caller.Result {
+	for n := 1; ; n++ {
+		r := e.Dispatcher.Run(ctx, t, o, fmt.Sprintf("%s-%d", attempt, n))
+		if r.Status != caller.Unsent || !pause(ctx, rerouteDelay) {
+			return r
+		}
+		next, err := e.Dispatcher.Choose(o.Archive, fmt.Sprintf("%s%s-%d", o.Key, attempt, n))
+		if err != nil {
+			return r
+		}
+		t = next
+	}
+}
+
+// pause waits for d and reports whether ctx is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // complete has the outcome written. The caller's answer does not wait for it:
 // until it is written a resend is told "in progress" or "unknown".
 func (e *Executor) complete(o Order, attempt string, a Answer) {
