Bound deadlines by what a host that is cut off may leave behind

Cause: a request may run on a backend server for as long as its deadline, while the servers of a host that was cut off change owner after 5 s; a longer deadline would let a server run more than its slots. The checker also allowed a retention of 30 days where the ledger keeps 7.

--- a/internal/settings/checker/section.go
+++ b/internal/settings/checker/section.go
@@ -3,13 +3,20 @@
 import (
 	"time"
 
+	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/settings/scanner"
 )
 
+// MaxCeiling is the longest deadline that an archive may allow. A host that is
+// cut off loses its backend servers 5 s after its last sync; work that it
+// started before must have ended by then, or a server would run more requests
+// than it has slots.
+const MaxCeiling = 4 * time.Second
+
 // Defaults of an archive.
 const (
 	DefaultDeadline  = 400 * time.Millisecond
-	DefaultCeiling   = 5 * time.Second
+	DefaultCeiling   = MaxCeiling
 	DefaultHedge     = 0.05
 	DefaultQuantile  = 0.95
 	DefaultRetry     = 0.1
@@ -19,7 +26,6 @@
 // Limits of an archive.
 const (
 	minDeadline = time.Millisecond
-	maxCeiling  = time.Hour
 	// maxHedge and maxRetry keep extra load below the level at which retries
 	// sustain an overload.
 	maxHedge     = 0.5
@@ -27,7 +33,7 @@
 	minQuantile  = 0.5
 	maxQuantile  = 0.9999
 	minRetention = time.Minute
-	maxRetention = 30 * 24 * time.Hour
+	maxRetention = recorder.MaxRetention
 	maxShards    = 1 << 20
 )
 
@@ -109,10 +115,10 @@
 	deadline, hasDeadline := o.Field("deadline")
 	ceiling, hasCeiling := o.Field("ceiling")
 	if hasDeadline {
-		a.Deadline, hasDeadline = deadline.Duration(minDeadline, maxCeiling)
+		a.Deadline, hasDeadline = deadline.Duration(minDeadline, MaxCeiling)
 	}
 	if hasCeiling {
-		a.Ceiling, hasCeiling = ceiling.Duration(minDeadline, maxCeiling)
+		a.Ceiling, hasCeiling = ceiling.Duration(minDeadline, MaxCeiling)
 	}
 	if a.Deadline <= a.Ceiling {
 		return
