Tick every 20 ms in place of 5

Cause: an entry host without work spent 7.4% of a core, where the target allows 1.5% for control. Change: the dispatcher's tick and with it the refusal of expired queued requests runs every 20 ms; roots give expired requests up by themselves.

--- a/internal/host/gateway/loops.go
+++ b/internal/host/gateway/loops.go
@@ -15,9 +15,11 @@
 	// refreshInterval bounds how long a lost or draining backend server stays
 	// in the directory after its lease ended.
 	refreshInterval = 20 * time.Millisecond
-	tickInterval    = 5 * time.Millisecond
-	shareInterval   = 250 * time.Millisecond
-	shareTimeout    = time.Second
+	// tickInterval bounds how late a queued request that has expired is refused;
+	// its root gives it up by itself in time.
+	tickInterval  = 20 * time.Millisecond
+	shareInterval = 250 * time.Millisecond
+	shareTimeout  = time.Second
 )
 
 // built tells what the current directory was built from.
