Hedge again when a hedge has failed

Cause: a hedge to a server that was down left the straggler without another one, because only the newest attempt was looked at. With one replica of each shard killed, p99 of part tail stayed at the time of a slow sub-request. Change: a shard is due when its newest attempt was sent the hedge delay ago, whether that one is still in flight or not. Result: the new test fails without the change.

--- a/internal/search/coordinator/hedge_test.go
+++ b/internal/search/coordinator/hedge_test.go
@@ -27,6 +27,7 @@
 // n-th attempt at its shard.
 type owner struct {
 	delay    func(shard uint32, n int) time.Duration
+	fails    func(n int) bool
 	mu       sync.Mutex
 	attempts map[uint32]int
 }
@@ -37,6 +38,10 @@
 	for _, s := range r.GetSubrequests() {
 		o.mu.Lock()
 		delay := o.delay(s.GetShard(), o.attempts[s.GetShard()])
+		status := caller.Answered
+		if o.fails != nil && o.fails(o.attempts[s.GetShard()]) {
+			status = caller.Unsent
+		}
 		o.attempts[s.GetShard()]++
 		o.mu.Unlock()
 		group.Go(func() {
@@ -44,7 +49,7 @@
 			case <-time.After(delay):
 				turn.Lock()
 				defer turn.Unlock()
-				each(&messenger.ScanReply{Attempt: s.GetAttempt(), Shard: s.GetShard(), Status: uint32(caller.Answered), Snapshot: r.GetSnapshot(), Body: []byte("[]")})
+				each(&messenger.ScanReply{Attempt: s.GetAttempt(), Shard: s.GetShard(), Status: uint32(status), Snapshot: r.GetSnapshot(), Body: []byte("[]")})
 			case <-ctx.Done():
 			}
 		})
@@ -127,3 +132,26 @@
 		})
 	}
 }
+
+// Guards against a straggler that is not hedged again when its first hedge
+// went to a server that is down.
+func TestFailedHedgeIsReplaced(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		straggler := false
+		o := &owner{attempts: map[uint32]int{}, delay: func(shard uint32, n int) time.Duration {
+			if straggler && shard == 0 && n == 0 {
+				return slow
+			}
+			return fast
+		}}
+		search := newSearch(t, o, 0.05)
+		for range 40 {
+			require.Equal(t, fast, search())
+		}
+		straggler = true
+		clear(o.attempts)
+		o.fails = func(n int) bool { return n == 1 }
+		require.Less(t, search(), slow/2)
+	})
+}
--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -296,8 +296,9 @@
 	return c.hedgerOf(q.settings).Delay(time.Now())
 }
 
-// hedge sends another sub-request for each shard whose newest one has been in
-// flight for the hedge delay. A shard that finds the budget empty is looked at
+// hedge sends another sub-request for each shard whose newest one was sent the
+// hedge delay ago or earlier. The newest one may have failed meanwhile, as one
+// to a server that is down does. A shard that finds the budget empty is looked at
 // again after a further delay.
 func (q *query) hedge(ctx context.Context) {
 	if !q.guard.mayHedge() {
@@ -308,7 +309,8 @@
 	var late []uint32
 	for _, a := range q.attempts {
 		state := &q.shards[a.shard]
-		if a == state.newest && state.hedges < maxHedges && now.Sub(a.sent) >= delay && !q.merger.Answered(a.shard) {
+		due := state.hedges < maxHedges && now.Sub(state.newest.sent) >= delay && !q.merger.Answered(a.shard)
+		if due && !slices.Contains(late, a.shard) {
 			late = append(late, a.shard)
 		}
 	}
