--- a/test/bench/baseline.go
+++ b/test/bench/baseline.go
@@ -209,6 +209,9 @@
 	a.Coverage = gateway.Coverage{Shards: result.Coverage.Shards, Answered: result.Coverage.Answered, Missing: result.Coverage.Missing}
 	if err != nil {
 		a.Code, a.Reason = "failed", err.Error()
+		if errors.Is(err, coordinator.ErrNoAnswer) {
+			a.Outcome = gateway.Unknown
+		}
 	} else {
 		a.Outcome = gateway.Ran
 	}
--- a/test/bench/main.go
+++ b/test/bench/main.go
@@ -46,6 +46,12 @@
 
 var parts = []part{
 	{"tail", runTail},
+	{"lanes", runLanes},
+	{"width", runWidth},
+	{"canary", runCanary},
+	{"orders", runOrders},
+	{"change", runChange},
+	{"crash", runCrash},
 }
 
 func main() {
