Admit a restarted entry host after the older lease

Cause: a newer incarnation of an entry host replaced the older one in the view at once, and the roster forgot when the older one was last heard. A process that is cut off or frozen instead of dead could still dispatch under its lease while its successor dispatched to the same backend servers. The leave of an incarnation that had never joined also took out the older one.

Change: the roster keeps every incarnation of a name until it was silent for the removal delay. A newer incarnation joins when the older one has left or was silent that long; removal and admission are one view change. The older one gets no lease once a newer one was heard. A leave takes out the leaving incarnation only.

The property test now runs several processes of one host, with the leases that the leader grants, and requires that no view change takes out a process with a running lease and that no superseded process gets one. The check that a silent host leaves and a heard one joins stays, per incarnation.

--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -186,6 +186,7 @@
 		{"leave", &messenger.ViewChange{Leave: members(host("b", 1))}, 5, "a2"},
 		{"late message of the stopped one", &messenger.ViewChange{Add: members(host("b", 1))}, 5, "a2"},
 		{"start of the stopped one", &messenger.ViewChange{Add: members(host("b", 2))}, 6, "a2 b2"},
+		{"leave of a newer one that never joined", &messenger.ViewChange{Leave: members(host("a", 3))}, 6, "a2 b2"},
 	}
 	d := newDriver(nil)
 	for _, s := range steps {
--- a/internal/control/keeper/view.go
+++ b/internal/control/keeper/view.go
@@ -54,7 +54,8 @@
 }
 
 // add puts a host into the view or replaces an older incarnation of it. A
-// message of an older incarnation that arrives late changes nothing.
+// message of an older incarnation that arrives late changes nothing. The leader
+// adds a newer incarnation only when the older one's lease has ended.
 func (v *view) add(m *messenger.Member) bool {
 	if m.GetName() == "" || len(m.Name) > maxName || len(m.Zone) > maxName || v.hasLeft(m) {
 		return false
@@ -90,7 +91,8 @@
 }
 
 // leave takes out a host that stops and remembers it, so that a sync request
-// which was sent before and arrives later does not add it again.
+// which was sent before and arrives later does not add it again. An older
+// incarnation stays: it may hold a lease.
 func (v *view) leave(m *messenger.Member) bool {
 	if m.GetName() == "" || len(m.Name) > maxName {
 		return false
@@ -100,12 +102,7 @@
 		v.departed = append(v.departed, &messenger.Member{Name: m.Name, Incarnation: m.Incarnation})
 		v.departed = v.departed[max(0, len(v.departed)-maxDeparted):]
 	}
-	i, found := v.find(m.Name)
-	if !found || v.members[i].Incarnation > m.Incarnation {
-		return false
-	}
-	v.members = slices.Delete(slices.Clone(v.members), i, i+1)
-	return true
+	return v.remove(m)
 }
 
 func (v *view) hasLeft(m *messenger.Member) bool {
--- a/internal/control/server/roster.go
+++ b/internal/control/server/roster.go
@@ -16,13 +16,14 @@
 	removal = lease + time.Second
 )
 
-// entryHost is what the leader knows of one entry host.
+// entryHost is what the leader knows of one process of an entry host.
 type entryHost struct {
 	member   *messenger.Member
 	heard    time.Duration
 	adopted  uint64
 	released uint64
 	revision uint64
+	left     bool
 }
 
 // roster is the leader's memory of entry hosts. Times are those of the loop.
@@ -30,7 +31,10 @@
 	// since is when this host began to listen as the leader. A host that was
 	// not heard since then may hold a lease of the leader before.
 	since time.Duration
-	hosts map[string]*entryHost
+	// hosts holds the incarnations of each name, the oldest first. An older
+	// incarnation may be cut off or frozen instead of dead, so that the time
+	// when it was last heard is kept until its lease has ended.
+	hosts map[string][]*entryHost
 	// done is the newest view known to be settled, and blocker a member that
 	// had not released the view after it. They keep a sync from looking at
 	// every member.
@@ -39,20 +43,20 @@
 }
 
 func newRoster(now time.Duration) *roster {
-	return &roster{since: now, hosts: map[string]*entryHost{}}
+	return &roster{since: now, hosts: map[string][]*entryHost{}}
 }
 
 // note records a sync request. Requests of an older incarnation are ignored.
 func (r *roster) note(now time.Duration, q *messenger.SyncRequest) {
 	m := q.GetMember()
-	h := r.hosts[m.GetName()]
-	if h == nil || h.member.GetIncarnation() < m.GetIncarnation() {
-		h = &entryHost{}
-		r.hosts[m.GetName()] = h
-	}
-	if h.member.GetIncarnation() > m.GetIncarnation() {
+	if r.superseded(m) {
 		return
 	}
+	h := r.find(m)
+	if h == nil {
+		h = &entryHost{}
+		r.hosts[m.GetName()] = append(r.hosts[m.GetName()], h)
+	}
 	h.member = m
 	h.heard = now
 	h.adopted = max(h.adopted, q.GetAdopted())
@@ -60,20 +64,34 @@
 	h.revision = q.GetRevision()
 }
 
-// forget drops a host that leaves.
-func (r *roster) forget(m *messenger.Member) {
-	if h := r.hosts[m.GetName()]; h != nil && h.member.GetIncarnation() <= m.GetIncarnation() {
-		delete(r.hosts, m.GetName())
+// leave marks a host that leaves, so that it does not join again.
+func (r *roster) leave(m *messenger.Member) {
+	if h := r.find(m); h != nil {
+		h.left = true
 	}
 }
 
+// superseded reports whether a newer incarnation of m was heard.
+func (r *roster) superseded(m *messenger.Member) bool {
+	list := r.hosts[m.GetName()]
+	return len(list) > 0 && list[len(list)-1].member.GetIncarnation() > m.GetIncarnation()
+}
+
+// grants reports whether m gets a lease: it is a member of the view, and no
+// newer incarnation waits for its lease to end.
+func (r *roster) grants(view *messenger.View, m *messenger.Member) bool {
+	member := memberOf(view, m.GetName())
+	return member != nil && member.GetIncarnation() == m.GetIncarnation() && !r.superseded(m)
+}
+
 // find returns the host under the incarnation of m.
 func (r *roster) find(m *messenger.Member) *entryHost {
-	h := r.hosts[m.GetName()]
-	if h == nil || h.member.GetIncarnation() != m.GetIncarnation() {
-		return nil
+	for _, h := range r.hosts[m.GetName()] {
+		if h.member.GetIncarnation() == m.GetIncarnation() {
+			return h
+		}
 	}
-	return h
+	return nil
 }
 
 // silence returns how long the host was not heard under the incarnation of m.
@@ -98,7 +116,7 @@
 		if r.silence(now, m) >= removal {
 			c.Remove = append(c.Remove, m)
 		}
-		if h := r.find(m); h != nil && sameMember(h.member, m) {
+		if list := r.hosts[m.GetName()]; len(list) == 1 && sameMember(list[0].member, m) {
 			same++
 		}
 	}
@@ -111,19 +129,30 @@
 	return c
 }
 
-// joining returns the hosts that the view lacks or holds differently.
+// joining returns the hosts that the view lacks or holds differently. An
+// incarnation joins only when the one in the view is due for removal, because
+// that one may hold a lease.
 func (r *roster) joining(now time.Duration, view *messenger.View, useful func(*messenger.ViewChange) bool) []*messenger.Member {
 	var joining []*messenger.Member
-	for name, h := range r.hosts {
-		if r.silence(now, h.member) >= removal {
+	for name, list := range r.hosts {
+		list = slices.DeleteFunc(list, func(h *entryHost) bool { return r.silence(now, h.member) >= removal })
+		if len(list) == 0 {
 			delete(r.hosts, name)
 			continue
 		}
-		if m := memberOf(view, name); m != nil && sameMember(m, h.member) {
+		r.hosts[name] = list
+		newest := list[len(list)-1]
+		c := &messenger.ViewChange{Add: []*messenger.Member{newest.member}}
+		if m := memberOf(view, name); m != nil && m.GetIncarnation() != newest.member.GetIncarnation() {
+			if r.silence(now, m) < removal {
+				continue
+			}
+			c.Remove = []*messenger.Member{m}
+		} else if m != nil && sameMember(m, newest.member) {
 			continue
 		}
-		if useful(&messenger.ViewChange{Add: []*messenger.Member{h.member}}) {
-			joining = append(joining, h.member)
+		if !newest.left && useful(c) {
+			joining = append(joining, newest.member)
 		}
 	}
 	return joining
@@ -136,12 +165,11 @@
 	if view.GetNumber() <= r.done {
 		return true
 	}
-	if h := r.hosts[r.blocker]; h != nil && h.released < view.GetNumber() && memberOf(view, r.blocker) != nil {
+	if m := memberOf(view, r.blocker); m != nil && !r.released(view, m) {
 		return false
 	}
 	for _, m := range view.GetMembers() {
-		h := r.find(m)
-		if h == nil || h.released < view.GetNumber() {
+		if !r.released(view, m) {
 			r.blocker = m.GetName()
 			return false
 		}
@@ -150,6 +178,11 @@
 	return true
 }
 
+func (r *roster) released(view *messenger.View, m *messenger.Member) bool {
+	h := r.find(m)
+	return h != nil && h.released >= view.GetNumber()
+}
+
 // memberOf returns the member of a view with this name, or nil. Members are
 // sorted by name.
 func memberOf(view *messenger.View, name string) *messenger.Member {
--- a/internal/control/server/roster_test.go
+++ b/internal/control/server/roster_test.go
@@ -4,12 +4,12 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
-	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"gentianpond/internal/control/keeper"
@@ -35,16 +35,21 @@
 	os.Exit(code)
 }
 
-// entryModel is one entry host in the roster's property test.
 // hostAddress stands for the address of every host: the keeper takes no member
 // without one.
 const hostAddress = "127.0.0.1:9080"
 
+// entryModel is one process of an entry host in the roster's property test.
 type entryModel struct {
 	member   *messenger.Member
-	synced   time.Duration // by any leader
+	leaseEnd time.Duration // of a lease by any leader
 	heard    time.Duration // by the present leader; negative is never
 	released uint64        // as told to the present leader
+	left     bool
+}
+
+func newEntryModel(name string, incarnation uint64) *entryModel {
+	return &entryModel{member: &messenger.Member{Name: name, Address: hostAddress, Incarnation: incarnation}, heard: -1}
 }
 
 type rosterModel struct {
@@ -55,77 +60,141 @@
 	keeper *keeper.Keeper
 	index  uint64
 	// done is the last view known to be settled.
-	done  uint64
-	hosts []*entryModel
+	done uint64
+	// hosts holds the processes of each host, the oldest first. All of them
+	// may run until they leave.
+	hosts [][]*entryModel
 }
 
+// apply changes the view. A process that it takes out must hold no lease.
 func (m *rosterModel) apply(c *messenger.ViewChange) {
 	data, err := keeper.Encode(&messenger.Command{Time: timestamp(), Action: &messenger.Command_View{View: c}})
 	require.NoError(m.t, err)
 	m.index++
 	require.NoError(m.t, m.keeper.Apply(m.index, data).Err)
+	for _, host := range m.hosts {
+		for _, p := range host {
+			if m.now >= p.leaseEnd {
+				continue
+			}
+			member, ok := m.keeper.Member(p.member.GetName())
+			require.True(m.t, ok && member.GetIncarnation() == p.member.GetIncarnation(),
+				"%s/%d holds a lease until %s at %s, the view has %v", p.member.GetName(), p.member.GetIncarnation(), p.leaseEnd, m.now, member)
+		}
+	}
 }
 
 func (m *rosterModel) elect() {
 	m.roster, m.since, m.done = newRoster(m.now), m.now, 0
-	for _, h := range m.hosts {
-		h.heard, h.released = -1, 0
+	for _, host := range m.hosts {
+		for _, p := range host {
+			p.heard, p.released = -1, 0
+		}
 	}
 }
 
+func (m *rosterModel) recent(p *entryModel) bool { return p.heard >= 0 && m.now-p.heard < removal }
+
+// newest returns the newest process that the present leader heard, or nil.
+func (m *rosterModel) newest(host []*entryModel) *entryModel {
+	for i := len(host) - 1; i >= 0; i-- {
+		if host[i].heard >= 0 {
+			return host[i]
+		}
+	}
+	return nil
+}
+
+// process draws a host and one of its processes, mostly the newest.
+func (m *rosterModel) process() (int, *entryModel) {
+	i := rapid.IntRange(0, len(m.hosts)-1).Draw(m.t, "host")
+	host := m.hosts[i]
+	if rapid.IntRange(0, 3).Draw(m.t, "older") > 0 {
+		return i, host[len(host)-1]
+	}
+	return i, rapid.SampledFrom(host).Draw(m.t, "process")
+}
+
 func (m *rosterModel) sync() {
-	h := rapid.SampledFrom(m.hosts).Draw(m.t, "host")
-	if h.member.GetIncarnation() > 1 && rapid.IntRange(0, 3).Draw(m.t, "late") == 0 {
-		late := &messenger.Member{Name: h.member.GetName(), Address: hostAddress, Incarnation: h.member.GetIncarnation() - 1}
+	i, p := m.process()
+	if p.left {
+		return
+	}
+	if p == m.hosts[i][len(m.hosts[i])-1] && rapid.IntRange(0, 9).Draw(m.t, "restart") == 0 {
+		p = newEntryModel(p.member.GetName(), p.member.GetIncarnation()+1)
+		m.hosts[i] = append(m.hosts[i], p)
+	}
+	newest := m.newest(m.hosts[i])
+	superseded := newest != nil && newest.member.GetIncarnation() > p.member.GetIncarnation()
+	switch {
+	case superseded && !m.recent(newest):
 		// A host that was silent for longer is forgotten, and with it which
 		// incarnations are old.
-		if h.heard >= 0 && m.now-h.heard < removal {
-			m.roster.note(m.now, &messenger.SyncRequest{Member: late, Released: 1000})
-		}
 		return
+	case superseded:
+		m.roster.note(m.now, &messenger.SyncRequest{Member: p.member, Released: 1000})
+	default:
+		released := rapid.Uint64Range(0, m.keeper.View().GetNumber()).Draw(m.t, "released")
+		p.heard, p.released = m.now, max(p.released, released)
+		m.roster.note(m.now, &messenger.SyncRequest{Member: p.member, Released: released})
 	}
-	if rapid.IntRange(0, 9).Draw(m.t, "restart") == 0 {
-		h.member = &messenger.Member{Name: h.member.GetName(), Address: hostAddress, Incarnation: h.member.GetIncarnation() + 1}
-		h.released = 0
+	if m.roster.grants(m.keeper.View(), p.member) {
+		require.False(m.t, superseded, "lease for %s/%d after a newer incarnation was heard", p.member.GetName(), p.member.GetIncarnation())
+		p.leaseEnd = m.now + lease
 	}
-	released := rapid.Uint64Range(0, m.keeper.View().GetNumber()).Draw(m.t, "released")
-	h.synced, h.heard, h.released = m.now, m.now, max(h.released, released)
-	m.roster.note(m.now, &messenger.SyncRequest{Member: h.member, Released: released})
 }
 
-// leave takes a host out as the leader does, perhaps followed by a sync request
-// that was sent before. The host comes back later under a new incarnation.
+// leave takes a process out as the leader does, perhaps followed by a sync
+// request that was sent before. The host comes back later under a new
+// incarnation.
 func (m *rosterModel) leave() {
-	h := rapid.SampledFrom(m.hosts).Draw(m.t, "host")
-	m.roster.forget(h.member)
-	m.apply(&messenger.ViewChange{Leave: []*messenger.Member{h.member}})
-	if rapid.Bool().Draw(m.t, "late") {
-		m.roster.note(m.now, &messenger.SyncRequest{Member: h.member})
-	}
-	next := proto.CloneOf(h.member)
-	next.Incarnation++
-	*h = entryModel{member: next, heard: -1}
+	i, p := m.process()
+	if p.left {
+		return
+	}
+	p.left, p.leaseEnd = true, 0
+	m.roster.leave(p.member)
+	m.apply(&messenger.ViewChange{Leave: []*messenger.Member{p.member}})
+	newest := m.newest(m.hosts[i])
+	if p != m.hosts[i][len(m.hosts[i])-1] {
+		return
+	}
+	if rapid.Bool().Draw(m.t, "late") && (newest == nil || newest.member.GetIncarnation() <= p.member.GetIncarnation()) {
+		m.roster.note(m.now, &messenger.SyncRequest{Member: p.member})
+		p.heard = m.now
+	}
+	m.hosts[i] = append(m.hosts[i], newEntryModel(p.member.GetName(), p.member.GetIncarnation()+1))
 }
 
 // duty applies the change that the roster asks for and checks the view.
 func (m *rosterModel) duty() {
-	c := m.roster.change(m.now, m.keeper.View(), m.keeper.ViewChanges)
-	for _, r := range c.GetRemove() {
-		for _, h := range m.hosts {
-			leased := h.member.GetName() == r.GetName() && h.member.GetIncarnation() == r.GetIncarnation() && m.now < h.synced+lease
-			require.False(m.t, leased, "removed %s at %s, which synced at %s", r.GetName(), m.now, h.synced)
-		}
-	}
-	if c != nil {
+	if c := m.roster.change(m.now, m.keeper.View(), m.keeper.ViewChanges); c != nil {
 		m.apply(c)
 	}
-	for _, h := range m.hosts {
-		_, member := m.keeper.Member(h.member.GetName())
-		recent := h.heard >= 0 && m.now-h.heard < removal
-		if recent || m.now-m.since >= removal {
-			require.Equal(m.t, recent, member, "%s heard at %s, now %s", h.member.GetName(), h.heard, m.now)
+	for _, host := range m.hosts {
+		m.checkMember(host)
+	}
+}
+
+// checkMember tests that the process that was heard last is in the view, or
+// an older one that may hold a lease, and that a silent one is not.
+func (m *rosterModel) checkMember(host []*entryModel) {
+	member, present := m.keeper.Member(host[0].member.GetName())
+	var left uint64
+	for _, p := range host {
+		if p.left {
+			left = p.member.GetIncarnation()
+		}
+		if present && p.member.GetIncarnation() == member.GetIncarnation() {
+			silence := m.now - max(p.heard, m.since)
+			require.Less(m.t, silence, removal, "%v is silent for %s", member, silence)
+			require.False(m.t, p.left, "%v has left", member)
 		}
 	}
+	newest := m.newest(host)
+	if newest != nil && m.recent(newest) && newest.member.GetIncarnation() > left {
+		require.True(m.t, present, "%v heard at %s, now %s", newest.member, newest.heard, m.now)
+	}
 }
 
 func (m *rosterModel) checkSettled() {
@@ -138,7 +207,7 @@
 	}
 	for _, r := range view.GetMembers() {
 		told := false
-		for _, h := range m.hosts {
+		for _, h := range slices.Concat(m.hosts...) {
 			told = told || h.member.GetName() == r.GetName() && h.member.GetIncarnation() == r.GetIncarnation() && h.released >= view.GetNumber()
 		}
 		want = want && told
@@ -150,13 +219,14 @@
 }
 
 // Guards against removing a host whose lease still runs, whichever leader
-// granted it, against keeping a silent one, and against a view that counts as
+// granted it, against admitting a newer incarnation while the older one's lease
+// runs or renewing that lease, against keeping a silent one, and against a view that counts as
 // settled before all its members have released it.
 func TestRosterRespectsLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &rosterModel{t: t, keeper: keeper.New(nil)}
 		for i := range 3 {
-			m.hosts = append(m.hosts, &entryModel{member: &messenger.Member{Name: fmt.Sprint("host-", i), Address: hostAddress, Incarnation: 1}})
+			m.hosts = append(m.hosts, []*entryModel{newEntryModel(fmt.Sprint("host-", i), 1)})
 		}
 		m.now = time.Hour
 		m.elect()
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -146,9 +146,9 @@
 			return
 		}
 		reply := l.keeper.Sync(r, time.Now())
-		reply.Settled = l.roster.settled(l.keeper.View())
-		member, ok := l.keeper.Member(r.GetMember().GetName())
-		if ok && member.GetIncarnation() == r.GetMember().GetIncarnation() {
+		view := l.keeper.View()
+		reply.Settled = l.roster.settled(view)
+		if l.roster.grants(view, r.GetMember()) {
 			reply.Granted = true
 			reply.Lease = durationpb.New(lease)
 		}
@@ -159,7 +159,7 @@
 // leave answers once the host is out of the view.
 func (l *loop) leave(r *messenger.SyncRequest, done func(*messenger.SyncReply, error)) {
 	c := &messenger.ViewChange{Leave: []*messenger.Member{r.GetMember()}}
-	l.roster.forget(r.GetMember())
+	l.roster.leave(r.GetMember())
 	l.propose(&messenger.Command{Action: &messenger.Command_View{View: c}}, func(_ keeper.Result, err error) {
 		l.logView(c, err)
 		if err != nil {
