Use the assigner's view in the subscriber

Cause: the subscriber had its own Member and View, equal to the assigner's, and the gateway converted between them. Its conversion skipped members with an unreadable address, so hosts that read an address differently would compute different owners.

Change: the subscriber uses assigner.Member, assigner.View and assigner.FromMessage. A reply with an invalid view is refused and renews no lease.

Result: the subscriber's and the assigner's tests pass, among them a new one for replies with invalid views.

--- a/internal/control/subscriber/state.go
+++ b/internal/control/subscriber/state.go
@@ -1,33 +1,13 @@
 package subscriber
 
 import (
-	"net/netip"
 	"time"
 
+	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/protocol/messenger"
 )
 
-// Member is one entry host.
-type Member struct {
-	Name string
-	Zone string
-	// Address of the inner service.
-	Address     netip.AddrPort
-	Incarnation uint64
-}
-
-// message returns the member as the inner protocol has it.
-func (m Member) message() *messenger.Member {
-	return &messenger.Member{Name: m.Name, Zone: m.Zone, Address: m.Address.String(), Incarnation: m.Incarnation}
-}
-
-// View is a numbered list of entry hosts, sorted by name.
-type View struct {
-	Number  uint64
-	Members []Member
-}
-
 // State is what an entry host knows from control at one time. It must not be
 // modified.
 type State struct {
@@ -35,7 +15,7 @@
 	Revision uint64
 	// Document is JSON, an object with a section per team.
 	Document []byte
-	View     View
+	View     assigner.View
 	// Settled is true when all members have released what View took from them.
 	Settled bool
 	// Quarantine is the list in force, with times of the local clock.
@@ -57,19 +37,6 @@
 		s.QuarantineRevision == other.QuarantineRevision
 }
 
-// viewOf skips members whose address cannot be read: no one can reach them.
-func viewOf(v *messenger.View) View {
-	view := View{Number: v.GetNumber()}
-	for _, m := range v.GetMembers() {
-		addr, err := netip.ParseAddrPort(m.GetAddress())
-		if err != nil {
-			continue
-		}
-		view.Members = append(view.Members, Member{Name: m.Name, Zone: m.Zone, Address: addr, Incarnation: m.Incarnation})
-	}
-	return view
-}
-
 // quarantineOf turns the times of the leader's clock into those of the local
 // one, by the difference at the time of the reply.
 func quarantineOf(reply *messenger.SyncReply, received time.Time) quarantiner.List {
--- a/internal/control/subscriber/subscriber.go
+++ b/internal/control/subscriber/subscriber.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
 
+	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/protocol/messenger"
 )
 
@@ -68,7 +69,7 @@
 
 // Config says who subscribes and where to.
 type Config struct {
-	Member Member
+	Member assigner.Member
 	// Addresses of the control hosts; at least one.
 	Addresses []netip.AddrPort
 	// Progress is called before each sync request.
--- a/internal/control/subscriber/subscriber_test.go
+++ b/internal/control/subscriber/subscriber_test.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 	"pgregory.net/rapid"
 
+	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/protocol/messenger"
@@ -149,7 +150,7 @@
 		addresses = append(addresses, netip.MustParseAddrPort(addr))
 	}
 	r.Subscriber = New(Config{
-		Member:    Member{Name: "host", Incarnation: 5},
+		Member:    assigner.Member{Name: "host", Incarnation: 5},
 		Addresses: addresses,
 		Expired:   func() { r.expired = append(r.expired, time.Now()) },
 		Connect: func(addr netip.AddrPort) (messenger.ControlClient, io.Closer, error) {
@@ -406,6 +407,23 @@
 	})
 }
 
+// Guards against a view whose members differ between hosts because one of them
+// skips a member that it cannot read, and against a lease on such a view.
+func TestInvalidView(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	for _, members := range [][]*messenger.Member{
+		{{Name: "a", Address: addrA}, {Name: "b", Address: "somewhere"}},
+		{{Name: "a", Address: addrA}, {Name: "a", Address: addrB}},
+		{{Address: addrA}},
+	} {
+		s := New(Config{})
+		reply := &messenger.SyncReply{View: &messenger.View{Number: 1, Members: members}}
+		require.ErrorIs(t, s.adopt(reply, now, now), assigner.ErrInvalid)
+		require.Zero(t, s.State().View.Number)
+		require.Zero(t, s.State().Lease)
+	}
+}
+
 // Guards against a revision that goes back or a document of another revision,
 // for any order of replies.
 func TestRevisionNeverGoesBack(t *testing.T) {
@@ -480,7 +498,7 @@
 	go func() { served <- g.Serve(listener) }()
 	changed := make(chan State, 1)
 	s := New(Config{
-		Member:    Member{Name: "host", Address: netip.MustParseAddrPort(addrA)},
+		Member:    assigner.Member{Name: "host", Address: netip.MustParseAddrPort(addrA)},
 		Addresses: []netip.AddrPort{listener.Addr().(*net.TCPAddr).AddrPort()},
 		Changed:   func(s State) { changed <- s },
 	})
--- a/internal/control/subscriber/sync.go
+++ b/internal/control/subscriber/sync.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/protocol/messenger"
 )
 
@@ -71,7 +72,7 @@
 	state := s.State()
 	progress := s.config.Progress()
 	return &messenger.SyncRequest{
-		Member:     s.config.Member.message(),
+		Member:     s.config.Member.Message(),
 		Adopted:    progress.Adopted,
 		Released:   progress.Released,
 		Revision:   state.Revision,
@@ -142,7 +143,11 @@
 	}
 	// Without a view the reply speaks of the one that the request named.
 	if reply.View.GetNumber() > state.View.Number {
-		state.View = viewOf(reply.View)
+		view, err := assigner.FromMessage(reply.View)
+		if err != nil {
+			return state, err
+		}
+		state.View = view
 	}
 	state.Settled = reply.Settled
 	return state, nil
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"gentianpond/internal/control/subscriber"
-	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/order/executor"
 	"gentianpond/internal/order/recorder"
@@ -16,7 +15,7 @@
 
 func (g *Gateway) newSubscriber() *subscriber.Subscriber {
 	return subscriber.New(subscriber.Config{
-		Member:    subscriber.Member(g.self),
+		Member:    g.self,
 		Addresses: g.settings.Control,
 		Progress: func() subscriber.Progress {
 			adopted, released := g.dispatcher.View()
@@ -34,7 +33,7 @@
 // adopt puts a new state in force. The lease is renewed only after it returns,
 // so a host never takes a request under a lease and an older configuration.
 func (g *Gateway) adopt(s subscriber.State) {
-	g.dispatcher.Adopt(viewOf(s.View), s.Settled)
+	g.dispatcher.Adopt(s.View, s.Settled)
 	if c := g.configured.Load(); c == nil || c.revision != s.Revision {
 		g.configure(s.Revision, s.Document)
 	}
@@ -52,14 +51,6 @@
 	g.log.Info("configuration in force", "revision", revision)
 }
 
-func viewOf(v subscriber.View) assigner.View {
-	view := assigner.View{Number: v.Number}
-	for _, m := range v.Members {
-		view.Members = append(view.Members, assigner.Member(m))
-	}
-	return view
-}
-
 // observe reports what a dispatch told about a request that crashes servers.
 func (g *Gateway) observe(o dispatcher.Observation) {
 	if o.Crashed {
