Use the scanner's fault type in the keeper

Cause: keeper.Fault repeated scanner.Fault, and the callers of the check converted each fault from one to the other.

Change: the keeper uses scanner.Fault. checkDocument of the program and of the benchmark return scanner.Faults.

--- a/cmd/gentianpond/control.go
+++ b/cmd/gentianpond/control.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-faster/errors"
 
-	"gentianpond/internal/control/keeper"
 	"gentianpond/internal/control/repairer"
 	"gentianpond/internal/control/server"
 	"gentianpond/internal/host/runner"
@@ -73,15 +72,7 @@
 }
 
 // checkDocument is the check that a document passes before it is accepted.
-func checkDocument(text []byte) []keeper.Fault {
+func checkDocument(text []byte) []scanner.Fault {
 	_, err := checker.ParseDocument("document", text)
-	var faults *scanner.Error
-	if !errors.As(err, &faults) {
-		return nil
-	}
-	var list []keeper.Fault
-	for _, f := range faults.Faults {
-		list = append(list, keeper.Fault(f))
-	}
-	return list
+	return scanner.Faults(err)
 }
--- a/internal/control/keeper/config.go
+++ b/internal/control/keeper/config.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/settings/scanner"
 )
 
 // Codes of a ChangeReply.
@@ -77,7 +78,7 @@
 	}
 	c.forget(now)
 	if c.full() && !c.forgetRefused() {
-		return c.reply(r, CodeUnavailable, Fault{Text: "too many changes in the last 48 hours"})
+		return c.reply(r, CodeUnavailable, scanner.Fault{Text: "too many changes in the last 48 hours"})
 	}
 	reply := c.evaluate(now, r)
 	c.remember(now, r, reply)
@@ -91,7 +92,7 @@
 		return nil
 	}
 	if answer.Digest != digest(r) {
-		return c.reply(r, CodeInvalid, Fault{Text: "the change id was used for another change"})
+		return c.reply(r, CodeInvalid, scanner.Fault{Text: "the change id was used for another change"})
 	}
 	reply := proto.CloneOf(answer.Reply)
 	reply.Repeat = true
@@ -110,21 +111,21 @@
 }
 
 // requestFaults are those of the request itself, whatever the state.
-func requestFaults(r *messenger.ChangeRequest) []Fault {
-	var list []Fault
+func requestFaults(r *messenger.ChangeRequest) []scanner.Fault {
+	var list []scanner.Fault
 	text := func(what, s string) {
 		if s == "" || len(s) > maxName {
-			list = append(list, Fault{Text: fmt.Sprintf("%s has to have 1 to %d bytes", what, maxName)})
+			list = append(list, scanner.Fault{Text: fmt.Sprintf("%s has to have 1 to %d bytes", what, maxName)})
 		}
 	}
 	text("change id", r.Id)
 	text("team", r.Team)
 	text("author", r.Author)
 	if strings.ContainsFunc(r.Team, func(c rune) bool { return c < ' ' || c == '"' || c == '\\' || c > '~' }) {
-		list = append(list, Fault{Text: "team has to consist of printable ASCII characters without quotes"})
+		list = append(list, scanner.Fault{Text: "team has to consist of printable ASCII characters without quotes"})
 	}
 	if len(r.Section) > maxSection {
-		list = append(list, Fault{Text: fmt.Sprintf("section is larger than %d bytes", maxSection)})
+		list = append(list, scanner.Fault{Text: fmt.Sprintf("section is larger than %d bytes", maxSection)})
 		return list
 	}
 	if len(r.Section) > 0 {
@@ -150,13 +151,13 @@
 }
 
 // candidate is the document after a change, and its faults.
-func (c *config) candidate(r *messenger.ChangeRequest) (map[string]*messenger.Section, document, []Fault) {
+func (c *config) candidate(r *messenger.ChangeRequest) (map[string]*messenger.Section, document, []scanner.Fault) {
 	current := c.sections[r.Team]
 	switch {
 	case len(r.Section) == 0 && c.version(r.Team) == 0:
-		return nil, document{}, []Fault{{Text: "there is no such section"}}
+		return nil, document{}, []scanner.Fault{{Text: "there is no such section"}}
 	case current == nil && len(c.sections) >= maxTeams:
-		return nil, document{}, []Fault{{Text: "there are too many sections"}}
+		return nil, document{}, []scanner.Fault{{Text: "there are too many sections"}}
 	}
 	sections := make(map[string]*messenger.Section, len(c.sections)+1)
 	for team, section := range c.sections {
@@ -165,15 +166,15 @@
 	sections[r.Team] = &messenger.Section{Team: r.Team, Version: current.GetVersion() + 1, Text: r.Section}
 	composed, err := compose(sections)
 	if err != nil {
-		return nil, document{}, []Fault{{Text: err.Error()}}
+		return nil, document{}, []scanner.Fault{{Text: err.Error()}}
 	}
 	if len(composed.text) > maxDocument {
-		return nil, document{}, []Fault{{Text: fmt.Sprintf("document is larger than %d bytes", maxDocument)}}
+		return nil, document{}, []scanner.Fault{{Text: fmt.Sprintf("document is larger than %d bytes", maxDocument)}}
 	}
 	return sections, composed, c.checked(composed, r.Team)
 }
 
-func (c *config) checked(d document, team string) []Fault {
+func (c *config) checked(d document, team string) []scanner.Fault {
 	if c.check == nil {
 		return nil
 	}
@@ -193,11 +194,11 @@
 	return section.Version
 }
 
-func (c *config) invalid(r *messenger.ChangeRequest, list []Fault) *messenger.ChangeReply {
+func (c *config) invalid(r *messenger.ChangeRequest, list []scanner.Fault) *messenger.ChangeReply {
 	return c.reply(r, CodeInvalid, list...)
 }
 
-func (c *config) reply(r *messenger.ChangeRequest, code string, list ...Fault) *messenger.ChangeReply {
+func (c *config) reply(r *messenger.ChangeRequest, code string, list ...scanner.Fault) *messenger.ChangeReply {
 	return &messenger.ChangeReply{Code: code, Revision: c.revision, Version: c.version(r.Team), Faults: faults(list)}
 }
 
--- a/internal/control/keeper/document.go
+++ b/internal/control/keeper/document.go
@@ -10,19 +10,12 @@
 	"github.com/tailscale/hujson"
 
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/settings/scanner"
 )
 
-// Fault is one error in a document. Line and Column count from 1; 0 means
-// that the fault has no place in the section that is changed.
-type Fault struct {
-	Line   int
-	Column int
-	Text   string
-}
-
 // Check returns all faults of a document: JSON, an object with a section per
 // team.
-type Check func(document []byte) []Fault
+type Check func(document []byte) []scanner.Fault
 
 const (
 	// maxFaults and maxFaultText bound a stored answer.
@@ -85,24 +78,24 @@
 
 // sectionFaults returns the faults for which a section cannot be part of a
 // document at all.
-func sectionFaults(text []byte) []Fault {
+func sectionFaults(text []byte) []scanner.Fault {
 	if !utf8.Valid(text) {
-		return []Fault{{Text: "section is not UTF-8"}}
+		return []scanner.Fault{{Text: "section is not UTF-8"}}
 	}
 	plain, err := plainJSON(text)
 	if err != nil {
-		return []Fault{syntaxFault(err)}
+		return []scanner.Fault{syntaxFault(err)}
 	}
 	if !bytes.HasPrefix(bytes.TrimSpace(plain), []byte("{")) {
-		return []Fault{{Line: 1, Column: 1, Text: "section is not an object"}}
+		return []scanner.Fault{{Line: 1, Column: 1, Text: "section is not an object"}}
 	}
 	return nil
 }
 
 // syntaxFault takes line and column out of a parser's error.
-func syntaxFault(err error) Fault {
+func syntaxFault(err error) scanner.Fault {
 	text := strings.TrimPrefix(err.Error(), "hujson: ")
-	var f Fault
+	var f scanner.Fault
 	if n, _ := fmt.Sscanf(text, "line %d, column %d:", &f.Line, &f.Column); n == 2 {
 		_, text, _ = strings.Cut(text, ": ")
 	}
@@ -111,22 +104,23 @@
 }
 
 // locate turns the place of a fault in the document into one in the section
-// of team. A fault elsewhere names the team and the line there.
-func (d document) locate(f Fault, team string) Fault {
+// of team. A fault elsewhere names the team and the line there, and has line
+// and column 0.
+func (d document) locate(f scanner.Fault, team string) scanner.Fault {
 	for name, before := range d.lines {
 		if f.Line <= before || f.Line > d.ends[name] {
 			continue
 		}
 		if name == team {
-			return Fault{Line: f.Line - before, Column: f.Column, Text: f.Text}
+			return scanner.Fault{Line: f.Line - before, Column: f.Column, Text: f.Text}
 		}
-		return Fault{Text: fmt.Sprintf("section of team %s, line %d, column %d: %s", name, f.Line-before, f.Column, f.Text)}
+		return scanner.Fault{Text: fmt.Sprintf("section of team %s, line %d, column %d: %s", name, f.Line-before, f.Column, f.Text)}
 	}
-	return Fault{Text: f.Text}
+	return scanner.Fault{Text: f.Text}
 }
 
 // faults bounds faults for an answer.
-func faults(list []Fault) []*messenger.Fault {
+func faults(list []scanner.Fault) []*messenger.Fault {
 	var out []*messenger.Fault
 	for _, f := range list {
 		if len(out) == maxFaults {
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -16,6 +16,7 @@
 
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/settings/scanner"
 )
 
 func TestMain(m *testing.M) {
@@ -34,11 +35,11 @@
 
 // checkWord faults every occurrence of the word "bad", as a stand-in for the
 // checker of the document.
-func checkWord(document []byte) []Fault {
-	var list []Fault
+func checkWord(document []byte) []scanner.Fault {
+	var list []scanner.Fault
 	for i, line := range bytes.Split(document, []byte("\n")) {
 		if column := bytes.Index(line, []byte("bad")); column >= 0 {
-			list = append(list, Fault{Line: i + 1, Column: column + 1, Text: "bad word"})
+			list = append(list, scanner.Fault{Line: i + 1, Column: column + 1, Text: "bad word"})
 		}
 	}
 	return list
--- a/test/bench/system.go
+++ b/test/bench/system.go
@@ -17,7 +17,6 @@
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
-	"gentianpond/internal/control/keeper"
 	"gentianpond/internal/control/repairer"
 	"gentianpond/internal/control/server"
 	"gentianpond/internal/host/gateway"
@@ -347,17 +346,9 @@
 }
 
 // checkDocument is the check that a document passes before it is accepted.
-func checkDocument(text []byte) []keeper.Fault {
+func checkDocument(text []byte) []scanner.Fault {
 	_, err := checker.ParseDocument("document", text)
-	var faults *scanner.Error
-	if !errors.As(err, &faults) {
-		return nil
-	}
-	var list []keeper.Fault
-	for _, f := range faults.Faults {
-		list = append(list, keeper.Fault(f))
-	}
-	return list
+	return scanner.Faults(err)
 }
 
 // waitVoters waits until count control hosts vote.
