Give shared digests and zone summaries their own fields

Cause: a shared renewal carried its content digest in the announcement's field connections, and a zone summary was a renewal without server that held hashes as shard numbers. A renewal that lacked its server by mistake acted on a whole zone.

Change: Shared has the fields digest and summary, the latter a ZoneSummary. A renewal without server is invalid.

The new case of TestMergeSkipsInvalid fails with the code before.

--- a/internal/fleet/tracker/merge.go
+++ b/internal/fleet/tracker/merge.go
@@ -40,21 +40,22 @@
 	remaining := min(max(0, s.GetRemaining().AsDuration()), Lease)
 	end := sentAt.Add(remaining)
 	switch {
+	case s.GetSummary() != nil:
+		t.applySummary(s.GetSummary())
+		return nil
 	case !s.GetRenewal():
 		a, err := FromMessage(m)
 		if err != nil {
 			return err
 		}
 		return t.accept(sentAt, a, end, false)
-	case m.GetServer() == "":
-		return t.applySummary(m)
 	default:
-		return t.applyShort(m, end)
+		return t.applyShort(m, s.GetDigest(), end)
 	}
 }
 
 // applyShort takes a renewal, a draining server or a lost server.
-func (t *Table) applyShort(m *messenger.Announcement, end time.Time) error {
+func (t *Table) applyShort(m *messenger.Announcement, digest uint32, end time.Time) error {
 	if err := validShort(m); err != nil {
 		return err
 	}
@@ -63,7 +64,7 @@
 		return nil
 	}
 	live := end.After(t.latest)
-	if live && !m.GetDraining() && !t.matches(r, m) {
+	if live && !m.GetDraining() && !matches(r, m, digest) {
 		// The content is not known here, or is not the one that was renewed.
 		// The sequence must not advance, or the full form would be stale.
 		t.gap = true
@@ -93,10 +94,10 @@
 }
 
 // matches reports whether r holds the content that m renews.
-func (t *Table) matches(r *record, m *messenger.Announcement) bool {
+func matches(r *record, m *messenger.Announcement, digest uint32) bool {
 	return r != nil && r.known &&
 		r.Incarnation == m.GetIncarnation() &&
-		r.digest == m.GetConnections()
+		r.digest == digest
 }
 
 func (t *Table) renewShort(r *record, m *messenger.Announcement, end time.Time) {
@@ -122,12 +123,10 @@
 // The summary cannot tell which announcement of each server it rests on, so
 // its effect ends with the next newer one of the server: a server that it
 // covers wrongly is back within a second or two.
-func (t *Table) applySummary(m *messenger.Announcement) error {
+func (t *Table) applySummary(m *messenger.ZoneSummary) {
 	stay := map[uint32]bool{}
-	for _, s := range m.GetServed() {
-		for _, hash := range s.GetShards() {
-			stay[hash] = true
-		}
+	for _, hash := range m.GetStaying() {
+		stay[hash] = true
 	}
 	for name, r := range t.records {
 		if !r.known || r.Zone != m.GetZone() || r.Draining || stay[nameHash(name)] {
@@ -136,7 +135,6 @@
 		r.suspended = true
 		t.count(r, false)
 	}
-	return nil
 }
 
 // Repair reports whether asking a peer for everything, since 0, would help:
--- a/internal/fleet/tracker/share.go
+++ b/internal/fleet/tracker/share.go
@@ -37,12 +37,10 @@
 // again, passes 0. One call returns about MaxShare bytes at most.
 //
 // A change of content is sent in full. Renewals, draining and lost servers are
-// sent in the short form: server, incarnation, sequence, draining, load and,
-// in the field connections, a digest of the content by which the receiver
-// finds out that it missed a change. When many servers of one zone drain at
-// once, one zone summary precedes them: a short form without server that
-// names the zone and lists, as hashes in the field served, the servers of the
-// zone that stay.
+// sent in the short form: server, incarnation, sequence, draining, load and a
+// digest of the content by which the receiver finds out that it missed a
+// change. When many servers of one zone drain at once, one zone summary
+// precedes them, which lists the servers of the zone that stay.
 func (t *Table) Share(now time.Time, since uint64) (last uint64, shared []*messenger.Shared) {
 	t.advance(now)
 	items := t.itemsAfter(since)
@@ -101,7 +99,7 @@
 	}
 	if !gone {
 		s.Announcement.Load = r.Load
-		s.Announcement.Connections = r.digest
+		s.Digest = r.digest
 	}
 	if remaining > 0 {
 		s.Remaining = durationpb.New(remaining)
@@ -142,7 +140,7 @@
 			continue
 		}
 		covered[zone] = true
-		summaries = append(summaries, summary(zone, stay))
+		summaries = append(summaries, &messenger.Shared{Summary: &messenger.ZoneSummary{Zone: zone, Staying: stay}})
 	}
 	items = slices.DeleteFunc(items, func(it item) bool {
 		r := it.record
@@ -163,14 +161,6 @@
 	return hashes
 }
 
-func summary(zone string, stay []uint32) *messenger.Shared {
-	a := &messenger.Announcement{Zone: zone, Draining: true}
-	if len(stay) > 0 {
-		a.Served = []*messenger.Served{{Shards: stay}}
-	}
-	return &messenger.Shared{Renewal: true, Announcement: a}
-}
-
 func nameHash(server string) uint32 { return uint32(xxhash.Sum64String(server)) }
 
 // digest hashes the content of a, which is all that a renewal leaves out.
--- a/internal/fleet/tracker/table_test.go
+++ b/internal/fleet/tracker/table_test.go
@@ -254,7 +254,9 @@
 	_, shared := from.Share(at(0), 0)
 	bad := &messenger.Shared{Announcement: &messenger.Announcement{Server: "b"}}
 	nameless := &messenger.Shared{Renewal: true, Announcement: &messenger.Announcement{Server: "-"}}
-	err := to.Merge(at(0), append([]*messenger.Shared{bad, nameless, nil}, shared...)...)
+	// Without a server a renewal must not act on the whole zone.
+	serverless := &messenger.Shared{Renewal: true, Announcement: &messenger.Announcement{Zone: example("a").Zone, Draining: true}}
+	err := to.Merge(at(0), append(append([]*messenger.Shared{bad, nameless, nil}, shared...), serverless)...)
 	require.ErrorIs(t, err, ErrInvalid)
 	require.Len(t, to.Usable(at(0)), 1)
 }
