--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -16,6 +16,7 @@
 
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/settings/scanner"
 )
 
 func TestMain(m *testing.M) {
@@ -34,11 +35,11 @@
 
 // checkWord faults every occurrence of the word "bad", as a stand-in for the
 // checker of the document.
-func checkWord(document []byte) []Fault {
-	var list []Fault
+func checkWord(document []byte) []scanner.Fault {
+	var list []scanner.Fault
 	for i, line := range bytes.Split(document, []byte("\n")) {
 		if column := bytes.Index(line, []byte("bad")); column >= 0 {
-			list = append(list, Fault{Line: i + 1, Column: column + 1, Text: "bad word"})
+			list = append(list, scanner.Fault{Line: i + 1, Column: column + 1, Text: "bad word"})
 		}
 	}
 	return list
@@ -186,6 +187,7 @@
 		{"leave", &messenger.ViewChange{Leave: members(host("b", 1))}, 5, "a2"},
 		{"late message of the stopped one", &messenger.ViewChange{Add: members(host("b", 1))}, 5, "a2"},
 		{"start of the stopped one", &messenger.ViewChange{Add: members(host("b", 2))}, 6, "a2 b2"},
+		{"leave of a newer one that never joined", &messenger.ViewChange{Leave: members(host("a", 3))}, 6, "a2 b2"},
 	}
 	d := newDriver(nil)
 	for _, s := range steps {
