--- /dev/null
+++ b/test/e2e/slots_test.go
@@ -0,0 +1,55 @@
+package e2e_test
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+)
+
+// TestSlots guards against a backend server that is asked to run more requests
+// than it has slots while its owner is killed, starts again, is frozen and
+// comes back under heavy load. Every other test checks the same limits when
+// it ends.
+func TestSlots(t *testing.T) {
+	y := newSystem(t, shape{control: 3, entries: 3, shards: 4, replicas: 2, section: section, behavior: searcher.Behavior{Delay: 20 * time.Millisecond}})
+	stop := make(chan struct{})
+	workers := parallel(24, func(w int) {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			lane := gateway.Interactive
+			if w%3 == 0 {
+				lane = gateway.Bulk
+			}
+			if a, err := y.search(y.callers[w%3], fmt.Sprintf(`"slots %d %d"`, w, i), lane); err == nil {
+				checkSearch(t, a)
+			}
+		}
+	})
+	time.Sleep(time.Second)
+	y.entries[0].kill()
+	time.Sleep(500 * time.Millisecond)
+	y.entries[0].start()
+	time.Sleep(time.Second)
+	y.entries[1].signal(syscall.SIGSTOP)
+	time.Sleep(7 * time.Second)
+	y.entries[1].signal(syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	close(stop)
+	workers.Wait()
+	y.checkLimits()
+	most := 0
+	for i := range y.settings {
+		most = max(most, y.stats(i).MostRunning)
+	}
+	require.Equal(t, y.settings[0].Slots, most, "the load never filled the slots")
+}
--- a/test/e2e/system_test.go
+++ b/test/e2e/system_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"gentianpond/internal/host/gateway"
@@ -242,8 +243,22 @@
 	}
 }
 
+// checkLimits verifies that no backend server that still runs was ever asked to
+// run more requests, or to hold more connections, than it announced.
+func (y *system) checkLimits() {
+	for i, s := range y.settings {
+		stats, err := y.fetchStats(i)
+		if err != nil {
+			continue
+		}
+		assert.LessOrEqual(y.t, stats.MostRunning, s.Slots, "%s ran more requests than it has slots", s.Name)
+		assert.LessOrEqual(y.t, stats.MostOpen, s.Connections, "%s held more connections than it allows", s.Name)
+	}
+}
+
 // stop ends every process that still runs and shows the logs of a failed test.
 func (y *system) stop() {
+	y.checkLimits()
 	all := append(append(append([]*process{}, y.control...), y.entries...), y.fakes...)
 	for _, p := range all {
 		if p.cmd != nil {
