Grant no lease while a removal is being committed

Cause: a silent entry host that synced after the leader had proposed its removal, and before that was applied, got a lease although it was about to leave the view. A new incarnation, or the next owner of its backend servers, could then dispatch beside it.

Change: the roster refuses leases to the members that the last change removes; they join again afterwards. It keeps what a member reported until that member is out of the view. The property test applies some changes only after further syncs and leaves. A test of the service restarts an entry host that did not leave.

--- a/internal/control/server/roster.go
+++ b/internal/control/server/roster.go
@@ -35,6 +35,9 @@
 	// incarnation may be cut off or frozen instead of dead, so that the time
 	// when it was last heard is kept until its lease has ended.
 	hosts map[string][]*entryHost
+	// removing holds the members that the last change removes. They get no
+	// lease, because the change may already be on its way through the log.
+	removing []*messenger.Member
 	// done is the newest view known to be settled, and blocker a member that
 	// had not released the view after it. They keep a sync from looking at
 	// every member.
@@ -77,11 +80,11 @@
 	return len(list) > 0 && list[len(list)-1].member.GetIncarnation() > m.GetIncarnation()
 }
 
-// grants reports whether m gets a lease: it is a member of the view, and no
-// newer incarnation waits for its lease to end.
+// grants reports whether m gets a lease: it is a member of the view and not
+// being removed, and no newer incarnation waits for its lease to end.
 func (r *roster) grants(view *messenger.View, m *messenger.Member) bool {
-	member := memberOf(view, m.GetName())
-	return member != nil && member.GetIncarnation() == m.GetIncarnation() && !r.superseded(m)
+	return sameProcess(memberOf(view, m.GetName()), m) && !r.superseded(m) &&
+		!slices.ContainsFunc(r.removing, func(o *messenger.Member) bool { return sameProcess(o, m) })
 }
 
 // find returns the host under the incarnation of m.
@@ -108,7 +111,8 @@
 
 // change returns the change that the view needs, or nil: hosts that were heard
 // join, silent members are removed. useful reports whether a change would have
-// an effect. Hosts that are silent and not in the view are forgotten.
+// an effect. Hosts that are silent and not in the view are forgotten. It is
+// called again only when the change that it returned is applied or has failed.
 func (r *roster) change(now time.Duration, view *messenger.View, useful func(*messenger.ViewChange) bool) *messenger.ViewChange {
 	c := &messenger.ViewChange{}
 	same := 0
@@ -120,6 +124,7 @@
 			same++
 		}
 	}
+	r.removing = c.Remove
 	if same < len(r.hosts) {
 		c.Add = r.joining(now, view, useful)
 	}
@@ -135,23 +140,27 @@
 func (r *roster) joining(now time.Duration, view *messenger.View, useful func(*messenger.ViewChange) bool) []*messenger.Member {
 	var joining []*messenger.Member
 	for name, list := range r.hosts {
-		list = slices.DeleteFunc(list, func(h *entryHost) bool { return r.silence(now, h.member) >= removal })
+		member := memberOf(view, name)
+		list = slices.DeleteFunc(list, func(h *entryHost) bool {
+			return r.silence(now, h.member) >= removal && !sameProcess(h.member, member)
+		})
 		if len(list) == 0 {
 			delete(r.hosts, name)
 			continue
 		}
 		r.hosts[name] = list
 		newest := list[len(list)-1]
+		if newest.left || r.silence(now, newest.member) >= removal || member != nil && sameMember(member, newest.member) {
+			continue
+		}
 		c := &messenger.ViewChange{Add: []*messenger.Member{newest.member}}
-		if m := memberOf(view, name); m != nil && m.GetIncarnation() != newest.member.GetIncarnation() {
-			if r.silence(now, m) < removal {
+		if member != nil && !sameProcess(member, newest.member) {
+			if r.silence(now, member) < removal {
 				continue
 			}
-			c.Remove = []*messenger.Member{m}
-		} else if m != nil && sameMember(m, newest.member) {
-			continue
+			c.Remove = []*messenger.Member{member}
 		}
-		if !newest.left && useful(c) {
+		if useful(c) {
 			joining = append(joining, newest.member)
 		}
 	}
@@ -197,6 +206,9 @@
 }
 
 func sameMember(a, b *messenger.Member) bool {
-	return a.GetName() == b.GetName() && a.GetZone() == b.GetZone() && a.GetAddress() == b.GetAddress() &&
-		a.GetIncarnation() == b.GetIncarnation()
+	return sameProcess(a, b) && a.GetZone() == b.GetZone() && a.GetAddress() == b.GetAddress()
+}
+
+func sameProcess(a, b *messenger.Member) bool {
+	return a.GetName() == b.GetName() && a.GetIncarnation() == b.GetIncarnation()
 }
--- a/internal/control/server/roster_test.go
+++ b/internal/control/server/roster_test.go
@@ -176,6 +176,24 @@
 	}
 }
 
+// delayedDuty applies the change that the roster asks for after some syncs and
+// leaves, because a change takes a round of the control hosts to commit.
+func (m *rosterModel) delayedDuty() {
+	c := m.roster.change(m.now, m.keeper.View(), m.keeper.ViewChanges)
+	for range rapid.IntRange(1, 4).Draw(m.t, "steps until applied") {
+		m.now += time.Duration(rapid.IntRange(0, 1500).Draw(m.t, "milliseconds")) * time.Millisecond
+		if rapid.IntRange(0, 4).Draw(m.t, "leave") == 0 {
+			m.leave()
+		} else {
+			m.sync()
+		}
+		m.checkSettled()
+	}
+	if c != nil {
+		m.apply(c)
+	}
+}
+
 // checkMember tests that the process that was heard last is in the view, or
 // an older one that may hold a lease, and that a silent one is not.
 func (m *rosterModel) checkMember(host []*entryModel) {
@@ -220,8 +238,10 @@
 
 // Guards against removing a host whose lease still runs, whichever leader
 // granted it, against admitting a newer incarnation while the older one's lease
-// runs or renewing that lease, against keeping a silent one, and against a view that counts as
-// settled before all its members have released it.
+// runs or renewing that lease, against a lease that is granted while the
+// removal of its holder is being committed, against keeping a silent host, and
+// against a view that counts as settled before all its members have released
+// it.
 func TestRosterRespectsLeases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &rosterModel{t: t, keeper: keeper.New(nil)}
@@ -235,8 +255,10 @@
 			switch rapid.IntRange(0, 9).Draw(t, "action") {
 			case 0:
 				m.elect()
-			case 1, 2, 3:
+			case 1, 2:
 				m.duty()
+			case 3:
+				m.delayedDuty()
 			case 4:
 				m.leave()
 			default:
--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -389,6 +389,31 @@
 	require.False(t, sync().GetGranted(), "lease after leaving")
 }
 
+// Guards against a restarted entry host that gets a lease while the process
+// before it may hold one, and against renewing that one.
+func TestRestartWaitsForLease(t *testing.T) {
+	t.Parallel()
+	g, leader := started(t)
+	c := g.client(leader)
+	sync := func(incarnation uint64) bool {
+		member := &messenger.Member{Name: "entry", Address: "127.0.0.1:1", Incarnation: incarnation}
+		reply, err := c.Sync(t.Context(), &messenger.SyncRequest{Member: member})
+		require.NoError(t, err)
+		return reply.GetGranted()
+	}
+	var sent time.Time
+	g.wait("a lease", func() bool {
+		sent = time.Now()
+		return sync(1)
+	})
+	g.wait("a lease of the new process", func() bool {
+		granted := sync(2)
+		require.False(t, sync(1), "lease for the old process after the new one was heard")
+		return granted
+	})
+	require.GreaterOrEqual(t, time.Since(sent), removal)
+}
+
 // Guards against a second group beside the first.
 func TestFormRefuses(t *testing.T) {
 	t.Parallel()
