Fix what a first trial of the commands found

Cause: the demo sent its order while the second entry host was still joining the view; the owner refused it and the demo ended with exit code 3.

--- a/cmd/gentianpond/apply.go
+++ b/cmd/gentianpond/apply.go
@@ -61,6 +61,9 @@
 		answered := reply.GetCode() != "" && reply.GetCode() != "unavailable"
 		return leaderHint(answered, reply.GetLeader()), err
 	})
+	if errors.Is(err, errUsage) {
+		return err
+	}
 	if err != nil {
 		return errors.Wrapf(errUnknown, "change %s: %v; give the same id again", r.GetId(), err)
 	}
--- a/cmd/gentianpond/demo.go
+++ b/cmd/gentianpond/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -141,6 +142,9 @@
 	if err := d.startServers(ctx); err != nil {
 		return err
 	}
+	if err := d.settle(timed); err != nil {
+		return err
+	}
 	entry := d.entries[0].Addr().String()
 	if err := d.search(timed, entry); err != nil {
 		return err
@@ -178,6 +182,46 @@
 	return nil
 }
 
+// settle waits until every entry host knows a settled view of all of them.
+// While a view changes, a host refuses orders for backend servers that it has
+// just gained, and such a refusal is final for the order's key.
+func (d *demo) settle(ctx context.Context) error {
+	for ctx.Err() == nil {
+		settled := 0
+		for _, g := range d.entries {
+			s, err := entryStatus(ctx, g.Addr().String())
+			if err != nil {
+				return err
+			}
+			if s.Settled && len(s.Members) == len(d.entries) {
+				settled++
+			}
+		}
+		if settled == len(d.entries) {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.New("the view of the entry hosts did not settle in time")
+}
+
+func entryStatus(ctx context.Context, entry string) (gateway.Status, error) {
+	var s gateway.Status
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+"/v1/status", nil)
+	if err != nil {
+		return s, errors.Wrap(err, "make request")
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, errors.Wrap(err, "ask entry host")
+	}
+	defer func() { _ = res.Body.Close() }()
+	if err := json.NewDecoder(res.Body).Decode(&s); err != nil {
+		return s, errors.Wrap(err, "read status")
+	}
+	return s, nil
+}
+
 // search repeats one search until it covers every shard: backend servers and
 // configuration take a moment to be known.
 func (d *demo) search(ctx context.Context, entry string) error {
--- a/cmd/gentianpond/quarantine.go
+++ b/cmd/gentianpond/quarantine.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/protocol/messenger"
 )
 
@@ -35,10 +36,28 @@
 			}
 			r.Fingerprint = n
 		}
+		if err := checkRelease(action, fingerprint); err != nil {
+			return err
+		}
 		return o.release(ctx, r)
 	}}
 }
 
+// checkRelease refuses an unknown action, and a change without a fingerprint,
+// which would pin or clear fingerprint 0.
+func checkRelease(action, fingerprint string) error {
+	switch action {
+	case "list":
+		return nil
+	case "clear", "pin":
+		if fingerprint == "" {
+			return errors.Wrapf(errUsage, "%s needs a fingerprint", action)
+		}
+		return nil
+	}
+	return errors.Wrapf(errUsage, "action %q is not list, clear or pin", action)
+}
+
 func (o *operator) release(ctx context.Context, r *messenger.ReleaseRequest) error {
 	var reply *messenger.SuspectReply
 	err := o.ask(ctx, func(ctx context.Context, c messenger.ControlClient) (string, error) {
@@ -50,8 +69,15 @@
 		return err
 	}
 	for _, s := range reply.GetSuspects() {
-		fmt.Printf("%016x archive %s state %d crashes %d until %s pinned %t\n", s.GetFingerprint(), s.GetArchive(),
-			s.GetState(), s.GetCrashes(), s.GetExpiry().AsTime().Format(time.RFC3339), s.GetPinned())
+		until := s.GetExpiry().AsTime().Format(time.RFC3339)
+		if s.GetPinned() {
+			until = "cleared"
+		}
+		fmt.Printf("%016x archive %s %s crashes %d until %s\n", s.GetFingerprint(), s.GetArchive(),
+			quarantiner.State(s.GetState()), s.GetCrashes(), until)
+	}
+	if len(reply.GetSuspects()) == 0 {
+		fmt.Println("no suspected or quarantined fingerprints")
 	}
 	return nil
 }
--- a/cmd/gentianpond/search.go
+++ b/cmd/gentianpond/search.go
@@ -100,5 +100,6 @@
 func printJSON(v any) error {
 	e := json.NewEncoder(os.Stdout)
 	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
 	return e.Encode(v)
 }
--- a/cmd/gentianpond/status.go
+++ b/cmd/gentianpond/status.go
@@ -47,7 +47,7 @@
 	fmt.Printf("control host %s: %s, term %d, leader %s, commit %d, applied %d, revision %d, view %d, settled %t\n",
 		r.GetHost(), r.GetRole(), r.GetTerm(), r.GetLeader(), r.GetCommit(), r.GetApplied(), r.GetRevision(), r.GetView(), r.GetSettled())
 	for _, v := range r.GetVoters() {
-		fmt.Printf("  member %s %s zone %s id %016x voter %t match %d silent %s\n",
+		fmt.Printf("  member %s %s zone %s id %d voter %t match %d silent %s\n",
 			v.GetName(), v.GetAddress(), v.GetZone(), v.GetIncarnation(), v.GetVoter(), v.GetMatch(), v.GetSilent().AsDuration())
 	}
 	for _, e := range r.GetEntries() {
