--- a/test/bench/width.go
+++ b/test/bench/width.go
@@ -74,7 +74,7 @@
 }
 
 func widthSystem(ctx context.Context, b *bench, width int) ([]string, error) {
-	x, err := start(ctx, syntheticShape(syntheticReplicas, width), options{settings: map[string]any{"deadline": "2s", "ceiling": "5s"}, behavior: searcher.Behavior{}})
+	x, err := start(ctx, syntheticShape(syntheticReplicas, width), options{settings: map[string]any{"deadline": "2s"}, behavior: searcher.Behavior{}})
 	if err != nil {
 		return nil, err
 	}
