--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -50,7 +50,7 @@
 	}
 	s := &Server{
 		settings: settings,
-		log:      logger.WithPrefix("control"),
+		log:      logger,
 		scope:    scope.SubScope("control"),
 		queue:    make(chan event, queueLimit),
 		stopped:  make(chan struct{}),
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -36,6 +36,10 @@
 // longer than any deadline that a configuration can allow.
 const stopTimeout = time.Minute
 
+// leaveTimeout bounds the wait for the control hosts at a planned stop. Without
+// them the host leaves the view by silence.
+const leaveTimeout = 5 * time.Second
+
 // provenSize is how many fingerprints of completed requests are remembered.
 const provenSize = 8192
 
@@ -160,8 +164,10 @@
 	for g.dispatcher.InFlight() > 0 && ctx.Err() == nil {
 		sleep(ctx, time.Millisecond)
 	}
-	if err := g.control.Leave(ctx); err != nil {
-		g.log.Warn("could not leave the view, it expires", "err", err)
+	leaving, stop := context.WithTimeout(ctx, leaveTimeout)
+	defer stop()
+	if err := g.control.Leave(leaving); err != nil {
+		g.log.Warn("could not leave the view, it ends by silence", "err", err.Error())
 	}
 	g.log.Info("stopped")
 }
