Warn the other entry hosts of a crash at once

Cause: with 9 entry hosts one crashing request sent 20 times took 22 of 30 backend servers down: the next sends reached hosts that learned of the crash only from the control hosts, up to a sync interval later. Change: an entry host that sees a crash tells the others directly, once per fingerprint and stage.

--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -57,7 +57,9 @@
 		g.log.Warn("connection to a backend server broke", "server", o.Server, "fingerprint", fmt.Sprintf("%016x", o.Fingerprint), "alone", o.Alone)
 		g.scope.Counter("broken_connections").Inc(1)
 	}
-	g.suspicions.observe(time.Now(), o)
+	if g.suspicions.observe(time.Now(), o) {
+		g.warn(o)
+	}
 	g.control.Suspect(quarantiner.Observation{
 		ID:          fmt.Sprintf("%s-%x-%s", g.self.Name, g.self.Incarnation, o.Attempt),
 		Fingerprint: o.Fingerprint, Archive: o.Archive, Server: o.Server, Incarnation: o.Incarnation, Crashed: o.Crashed, Alone: o.Alone,
--- a/internal/host/gateway/service.go
+++ b/internal/host/gateway/service.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc"
 
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/search/dispatcher"
 )
 
 // service answers the other entry hosts.
@@ -39,3 +40,12 @@
 	last, shared := g.fleet.Share(time.Now(), since)
 	return &messenger.ShareReply{Incarnation: g.self.Incarnation, Last: last, Shared: shared}, nil
 }
+
+// Warn takes another entry host's word for a crash.
+func (s *service) Warn(_ context.Context, o *messenger.Observation) (*messenger.WarnReply, error) {
+	s.gateway.suspicions.observe(time.Now(), dispatcher.Observation{
+		Fingerprint: o.GetFingerprint(), Archive: o.GetArchive(), Server: o.GetServer(), Incarnation: o.GetIncarnation(),
+		Crashed: o.GetCrashed(), Alone: o.GetAlone(),
+	})
+	return &messenger.WarnReply{}, nil
+}
--- a/internal/host/gateway/suspicion.go
+++ b/internal/host/gateway/suspicion.go
@@ -29,14 +29,17 @@
 	alone bool
 }
 
-// observe notes a crash near a request, or that a request completed alone.
-func (s *suspicions) observe(now time.Time, o dispatcher.Observation) {
+// observe notes a crash near a request, or that a request completed alone. It
+// reports whether a crash made the verdict stricter.
+func (s *suspicions) observe(now time.Time, o dispatcher.Observation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !o.Crashed {
 		delete(s.seen, o.Fingerprint)
-		return
+		return false
 	}
+	old, ok := s.seen[o.Fingerprint]
+	ok = ok && now.Sub(old.last) < suspicionWindow
 	if s.seen == nil {
 		s.seen = map[uint64]suspicion{}
 	}
@@ -44,8 +47,9 @@
 		s.expire(now)
 	}
 	if len(s.seen) < suspicionSize {
-		s.seen[o.Fingerprint] = suspicion{last: now, alone: o.Alone || s.seen[o.Fingerprint].alone}
+		s.seen[o.Fingerprint] = suspicion{last: now, alone: o.Alone || ok && old.alone}
 	}
+	return !ok || o.Alone && !old.alone
 }
 
 func (s *suspicions) expire(now time.Time) {
