--- a/internal/search/coordinator/coordinator.go
+++ b/internal/search/coordinator/coordinator.go
@@ -79,8 +79,7 @@
 	mu       sync.Mutex
 	rand     *rand.Rand
 	selector *selector.Selector
-	hedgers  map[string]*hedger.Hedger
-	settings map[string]checker.Archive
+	hedgers  map[laneKey]laneHedger
 	known    map[string]bool
 }
 
@@ -95,8 +94,7 @@
 		sender:   sender,
 		rand:     rand.New(rand.NewPCG(self.Incarnation, uint64(len(self.Name)))),
 		selector: selector.New(self.Zone),
-		hedgers:  map[string]*hedger.Hedger{},
-		settings: map[string]checker.Archive{},
+		hedgers:  map[laneKey]laneHedger{},
 		known:    map[string]bool{},
 		metrics: metrics{
 			first:    scope.Counter("subrequests_first"),
@@ -139,17 +137,30 @@
 	c.directory.Store(d)
 }
 
-// hedgerOf returns the hedger of an archive; a change of its settings starts
-// a new one. The caller holds the lock.
-func (c *Coordinator) hedgerOf(a checker.Archive) *hedger.Hedger {
-	old := c.settings[a.Name]
-	h := c.hedgers[a.Name]
-	if h != nil && old.Quantile == a.Quantile && old.Hedge == a.Hedge && old.Retry == a.Retry {
-		return h
+// laneKey names a lane of an archive.
+type laneKey struct {
+	archive string
+	lane    string
+}
+
+// laneHedger is a hedger and the settings that it was made from.
+type laneHedger struct {
+	*hedger.Hedger
+	config hedger.Config
+}
+
+// hedgerOf returns the hedger of a lane of an archive; a change of the settings
+// starts a new one. Each lane has its own: the time that bulk work waits in
+// queues would raise the hedge delay of interactive work. The caller holds the
+// lock.
+func (c *Coordinator) hedgerOf(a checker.Archive, lane string) *hedger.Hedger {
+	config := hedger.Config{Quantile: a.Quantile, Hedge: ratio(a.Hedge), Retry: ratio(a.Retry)}
+	key := laneKey{archive: a.Name, lane: lane}
+	if old, ok := c.hedgers[key]; ok && old.config == config {
+		return old.Hedger
 	}
-	h = hedger.New(hedger.Config{Quantile: a.Quantile, Hedge: ratio(a.Hedge), Retry: ratio(a.Retry)})
-	c.hedgers[a.Name] = h
-	c.settings[a.Name] = a
+	h := hedger.New(config)
+	c.hedgers[key] = laneHedger{Hedger: h, config: config}
 	return h
 }
 
--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -196,7 +196,7 @@
 func (q *query) choose(now time.Time, shard uint32, why cause) (uint64, *attempt) {
 	c := q.coordinator
 	state := &q.shards[shard]
-	h := c.hedgerOf(q.settings)
+	h := c.hedgerOf(q.settings, q.request.Lane)
 	name, ok := q.replica(now, shard, why)
 	if !ok {
 		return 0, nil
@@ -227,7 +227,7 @@
 // held.
 func (q *query) allowed(why cause) bool {
 	m := q.coordinator.metrics
-	h := q.coordinator.hedgerOf(q.settings)
+	h := q.coordinator.hedgerOf(q.settings, q.request.Lane)
 	switch why {
 	case hedge:
 		if !h.AllowHedge() {
@@ -293,7 +293,7 @@
 	c := q.coordinator
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.hedgerOf(q.settings).Delay(time.Now())
+	return c.hedgerOf(q.settings, q.request.Lane).Delay(time.Now())
 }
 
 // hedge sends another sub-request for each shard whose newest one was sent the
@@ -324,7 +324,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.selector.Finished(now, a.server, a.incarnation, status, latency)
-	h := c.hedgerOf(q.settings)
+	h := c.hedgerOf(q.settings, q.request.Lane)
 	switch status {
 	case selector.Completed:
 		h.Observe(now, latency)
