--- a/internal/control/journaler/journal_test.go
+++ b/internal/control/journaler/journal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -10,19 +9,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"gentianpond/test/seeder"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 3000})
 	os.Exit(m.Run())
 }
 
--- a/internal/control/keeper/keeper_test.go
+++ b/internal/control/keeper/keeper_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -17,17 +16,11 @@
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/protocol/messenger"
 	"gentianpond/internal/settings/scanner"
+	"gentianpond/test/seeder"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 300})
 	os.Exit(m.Run())
 }
 
--- a/internal/control/replicator/core_test.go
+++ b/internal/control/replicator/core_test.go
@@ -1,28 +1,19 @@
 package replicator
 
 import (
-	"flag"
 	"math/rand/v2"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gentianpond/test/seeder"
 )
 
 // TestMain makes plain runs repeatable: rapid otherwise draws a new seed.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20260112", "rapid.checks": "1000", "rapid.steps": "50"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 20260112, Checks: 1000, Steps: 50})
 	os.Exit(m.Run())
 }
 
--- a/internal/control/server/roster_test.go
+++ b/internal/control/server/roster_test.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -14,19 +13,11 @@
 
 	"gentianpond/internal/control/keeper"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/test/seeder"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 2000})
 	code := m.Run()
 	if err := goleak.Find(); code == 0 && err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/control/subscriber/subscriber_test.go
+++ b/internal/control/subscriber/subscriber_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -25,17 +24,11 @@
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/test/seeder"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 1000})
 	goleak.VerifyTestMain(m, goleak.Cleanup(os.Exit))
 }
 
--- a/internal/guard/quarantiner/quarantiner_test.go
+++ b/internal/guard/quarantiner/quarantiner_test.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -9,17 +8,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"gentianpond/test/seeder"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 1000})
 	os.Exit(m.Run())
 }
 
--- a/internal/order/executor/executor_test.go
+++ b/internal/order/executor/executor_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
 	"strconv"
@@ -17,13 +16,12 @@
 	"gentianpond/internal/order/executor"
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/search/caller"
+	"gentianpond/test/seeder"
 )
 
 // TestMain fixes the seed and the number of schedules unless they are given.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.checks", "2000")
-	flag.Parse()
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 2000})
 	os.Exit(m.Run())
 }
 
--- a/internal/search/limiter/main_test.go
+++ b/internal/search/limiter/main_test.go
@@ -1,21 +1,15 @@
 package limiter
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"gentianpond/test/seeder"
 )
 
 // TestMain fixes the seed and the number of checks of the property tests
 // unless they are given on the command line.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "5000"}
-	flag.Visit(func(f *flag.Flag) { delete(fixed, f.Name) })
-	for name, value := range fixed {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 5000})
 	os.Exit(m.Run())
 }
