Test whole queries against owners that lose and mix up replies

Cause: only the parts of the coordinator had property tests. Keeping the attempts of an earlier start was not caught.

--- /dev/null
+++ b/internal/search/coordinator/search_test.go
@@ -0,0 +1,192 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"gentianpond/internal/fleet/assigner"
+	"gentianpond/internal/fleet/tracker"
+	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/search/caller"
+	"gentianpond/internal/settings/checker"
+	"gentianpond/test/seeder"
+)
+
+// TestMain fixes the seed and the number of checks of the property test.
+func TestMain(m *testing.M) {
+	seeder.Fix(seeder.Values{Seed: 1, Checks: 5000})
+	os.Exit(m.Run())
+}
+
+// counts are the numbers of shards of the snapshots.
+var counts = map[string]int{"1": 5, "2": 3}
+
+// hostile is a Sender whose owners answer, refuse, lose, delay, repeat and mix
+// up replies, decided by a seed.
+type hostile struct {
+	seed uint64
+	// withdrawn is when snapshot 1 disappears.
+	withdrawn time.Time
+
+	mu sync.Mutex
+	// answered holds the shards of each snapshot that were truly answered, and
+	// started whether any server may have started a sub-request.
+	answered map[string]map[uint32]bool
+	started  bool
+	// ended is started at the end of the search.
+	ended bool
+	sent  int
+}
+
+type body struct {
+	Query    string `json:"query"`
+	Snapshot string `json:"snapshot"`
+	Shard    uint32 `json:"shard"`
+}
+
+func (h *hostile) Scan(ctx context.Context, _ assigner.Member, r *messenger.ScanRequest, each func(*messenger.ScanReply)) error {
+	for _, s := range r.GetSubrequests() {
+		h.mu.Lock()
+		h.sent++
+		random := rand.New(rand.NewPCG(h.seed, uint64(h.sent)))
+		h.mu.Unlock()
+		select {
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		case <-ctx.Done():
+			h.note(func() { h.started = true })
+			return ctx.Err()
+		}
+		if random.IntN(20) == 0 {
+			h.note(func() { h.started = true })
+			return errors.New("stream broke")
+		}
+		h.reply(r, s, random, each)
+	}
+	return nil
+}
+
+func (h *hostile) note(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f()
+}
+
+func (h *hostile) reply(r *messenger.ScanRequest, s *messenger.Subrequest, random *rand.Rand, each func(*messenger.ScanReply)) {
+	text, _ := json.Marshal([]body{{Query: r.GetQuery(), Snapshot: r.GetSnapshot(), Shard: s.GetShard()}})
+	m := &messenger.ScanReply{Attempt: s.GetAttempt(), Shard: s.GetShard(), Snapshot: r.GetSnapshot(), Status: uint32(caller.Answered), Body: text}
+	if r.GetSnapshot() == "1" && !time.Now().Before(h.withdrawn) {
+		m.Status = uint32(caller.Missing)
+		each(m)
+		return
+	}
+	switch random.IntN(10) {
+	case 0:
+		statuses := []caller.Status{caller.Shed, caller.Missing, caller.Unsent, caller.Refused, caller.Broken, caller.TimedOut, caller.Failed, caller.Crossed}
+		status := statuses[random.IntN(len(statuses))]
+		m.Status, m.Body = uint32(status), nil
+		if !status.NotStarted() {
+			h.note(func() { h.started = true })
+		}
+	case 1:
+		m.Snapshot = "other"
+		h.note(func() { h.started = true })
+	case 2:
+		m.Shard++
+		h.note(func() { h.started = true })
+	case 3:
+		m.Attempt += 1000
+		h.note(func() { h.started = true })
+	case 4:
+		h.truly(m)
+		each(m)
+	default:
+		h.truly(m)
+	}
+	each(m)
+}
+
+func (h *hostile) truly(m *messenger.ScanReply) {
+	h.note(func() {
+		h.started = true
+		h.answered[m.GetSnapshot()][m.GetShard()] = true
+	})
+}
+
+func directoryOf(self assigner.Member, snapshots ...string) *Directory {
+	var usable []tracker.Server
+	for i := range 10 {
+		a := tracker.Announcement{Server: fmt.Sprint("searcher-", i), Zone: "zone-1", Incarnation: 1, Slots: 3}
+		for _, v := range snapshots {
+			a.Served = append(a.Served, tracker.Served{Archive: "albums", Snapshot: v, Count: counts[v], Shards: []int{i % counts[v]}})
+		}
+		usable = append(usable, tracker.Server{Announcement: a})
+	}
+	document := checker.Document{Sections: []checker.Section{{Team: "counter", Archives: []checker.Archive{checker.DefaultArchive("albums")}}}}
+	return NewDirectory(usable, assigner.View{Number: 1, Members: []assigner.Member{self}}, document)
+}
+
+// TestSearch guards against an answer that mixes snapshots or queries, counts
+// a shard twice or one that was not answered, states another denominator than
+// its snapshot's, or says "not started" of a search that may have started.
+func TestSearch(t *testing.T) {
+	restarted := 0
+	rapid.Check(t, func(r *rapid.T) {
+		seed := rapid.Uint64().Draw(r, "seed")
+		withdrawal := rapid.IntRange(0, 200).Draw(r, "withdrawal, ms")
+		announced := rapid.IntRange(1, 200).Draw(r, "next snapshot known, ms")
+		var h *hostile
+		var a Answer
+		var err error
+		synctest.Test(t, func(*testing.T) {
+			h = &hostile{seed: seed, withdrawn: time.Now().Add(time.Duration(withdrawal) * time.Millisecond), answered: map[string]map[uint32]bool{"1": {}, "2": {}}}
+			self := assigner.Member{Name: "entry-1", Zone: "zone-1", Incarnation: 1}
+			c := New(self, h, tally.NoopScope)
+			c.Update(time.Now(), directoryOf(self, "1"))
+			time.AfterFunc(time.Duration(announced)*time.Millisecond, func() { c.Update(time.Now(), directoryOf(self, "1", "2")) })
+			a, err = c.Search(context.Background(), Request{Archive: "albums", Body: []byte("1"), Deadline: time.Now().Add(300 * time.Millisecond)})
+			h.note(func() { h.ended = h.started })
+			time.Sleep(time.Second)
+		})
+		h.check(r, a, err)
+		if a.Snapshot == "2" && a.Coverage.Answered > 0 {
+			restarted++
+		}
+	})
+	require.NotZero(t, restarted, "no search started again on the next snapshot")
+}
+
+func (h *hostile) check(t *rapid.T, a Answer, err error) {
+	require.Equal(t, counts[a.Snapshot], int(a.Coverage.Shards), "denominator")
+	require.Equal(t, a.Coverage.Shards, a.Coverage.Answered+uint32(len(a.Coverage.Missing)))
+	require.Len(t, a.Bodies, int(a.Coverage.Answered))
+	if errors.Is(err, ErrNotStarted) {
+		require.False(t, h.ended, "said not started")
+	}
+	queries := map[string]bool{}
+	shards := map[uint32]bool{}
+	for _, raw := range a.Bodies {
+		var list []body
+		require.NoError(t, json.Unmarshal(raw, &list))
+		require.Equal(t, a.Snapshot, list[0].Snapshot, "another snapshot")
+		require.False(t, shards[list[0].Shard], "a shard counted twice")
+		require.True(t, h.answered[a.Snapshot][list[0].Shard], "a shard that was not answered")
+		shards[list[0].Shard] = true
+		queries[list[0].Query] = true
+	}
+	require.LessOrEqual(t, len(queries), 1, "several queries")
+	for _, shard := range a.Coverage.Missing {
+		require.False(t, shards[shard], "a missing shard has an answer")
+	}
+}
