--- a/internal/host/gateway/loops.go
+++ b/internal/host/gateway/loops.go
@@ -27,7 +27,7 @@
 	version  uint64
 	view     uint64
 	revision uint64
-	any      bool
+	set      bool
 }
 
 func (g *Gateway) refreshLoop(ctx context.Context) error {
@@ -63,7 +63,7 @@
 	view := g.dispatcher.Adopted()
 	g.fleetMu.Lock()
 	lost := g.fleet.Expire(now)
-	next := built{version: g.fleet.Version(), view: view.Number, revision: config.revision, any: true}
+	next := built{version: g.fleet.Version(), view: view.Number, revision: config.revision, set: true}
 	if next == g.built {
 		g.fleetMu.Unlock()
 		return
--- a/internal/search/coordinator/hedge_test.go
+++ b/internal/search/coordinator/hedge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,9 +104,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				stragglers := 0
+				var stragglers atomic.Int64
 				o := &owner{attempts: map[uint32]int{}, delay: func(shard uint32, n int) time.Duration {
-					if int(shard) < stragglers && n < c.slowAttempts {
+					if int64(shard) < stragglers.Load() && n < c.slowAttempts {
 						return slow
 					}
 					return fast
@@ -114,7 +115,7 @@
 				for range c.warm {
 					require.Equal(t, fast, search())
 				}
-				stragglers = c.stragglers
+				stragglers.Store(int64(c.stragglers))
 				clear(o.attempts)
 				if c.warm > 0 {
 					require.Less(t, search(), slow/2)
@@ -125,7 +126,7 @@
 				var group sync.WaitGroup
 				group.Go(func() { require.Less(t, search(), slow) })
 				time.Sleep(60 * time.Millisecond)
-				stragglers = 0
+				stragglers.Store(0)
 				require.Equal(t, fast, search())
 				group.Wait()
 			})
