Carry a trace over every hop

Cause: spans of different hosts belonged to different traces, and requests to backend servers had none. Change: grpc carries the trace context; a span for each request to a backend server; the tests with separate processes write spans.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -119,7 +119,7 @@
 	g.dispatcher = dispatcher.New(g.self, func() time.Time { return g.control.State().Lease }, g.observe)
 	g.coordinator = coordinator.New(g.self, g, metrics.Scope)
 	g.executor = &executor.Executor{Host: s.Name, Incarnation: g.self.Incarnation, Ledger: ledger{g}, Dispatcher: orders{g}, Background: g.background.Go}
-	g.inner = messenger.NewServer(grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithTracerProvider(traces.Provider()))))
+	g.inner = messenger.NewServer(grpc.StatsHandler(otelgrpc.NewServerHandler(traces.GRPC()...)))
 	messenger.RegisterEntryServer(g.inner, &service{gateway: g})
 	g.server = &http.Server{Handler: g.mux(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
 	return g, nil
--- a/internal/host/gateway/peers.go
+++ b/internal/host/gateway/peers.go
@@ -25,7 +25,7 @@
 }
 
 func newPeers(traces *reporter.Traces) *peers {
-	handler := otelgrpc.NewClientHandler(otelgrpc.WithTracerProvider(traces.Provider()))
+	handler := otelgrpc.NewClientHandler(traces.GRPC()...)
 	return &peers{options: []grpc.DialOption{grpc.WithStatsHandler(handler)}, conns: map[netip.AddrPort]*grpc.ClientConn{}}
 }
 
--- a/internal/host/gateway/scan.go
+++ b/internal/host/gateway/scan.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"gentianpond/internal/fleet/assigner"
@@ -88,7 +90,11 @@
 	if verdict == quarantiner.VerdictRefuse || verdict == quarantiner.VerdictAlone && !r.Alone {
 		return caller.Result{Status: caller.Refused, Err: errors.New("the request is suspected of crashing backend servers")}
 	}
-	return g.dispatcher.Do(ctx, r)
+	ctx, span := g.tracer.Start(ctx, "backend"+r.Path, trace.WithAttributes(attribute.String("server", r.Server)))
+	defer span.End()
+	result := g.dispatcher.Do(ctx, r)
+	span.SetAttributes(attribute.String("status", result.Status.String()))
+	return result
 }
 
 func laneOf(name string) limiter.Lane {
--- a/internal/observe/reporter/traces.go
+++ b/internal/observe/reporter/traces.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
 	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/sdk/trace"
 	oteltrace "go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
@@ -41,8 +43,11 @@
 // Tracer returns the tracer of one part.
 func (t *Traces) Tracer(part string) oteltrace.Tracer { return t.provider.Tracer(part) }
 
-// Provider returns the source of tracers for libraries that take one.
-func (t *Traces) Provider() oteltrace.TracerProvider { return t.provider }
+// GRPC returns the options under which grpc makes a span for each call and
+// carries the trace to the other side.
+func (t *Traces) GRPC() []otelgrpc.Option {
+	return []otelgrpc.Option{otelgrpc.WithTracerProvider(t.provider), otelgrpc.WithPropagators(propagation.TraceContext{})}
+}
 
 // Close writes the spans that are still held.
 func (t *Traces) Close() error { return t.stop() }
--- a/test/e2e/system_test.go
+++ b/test/e2e/system_test.go
@@ -220,7 +220,7 @@
 	for i, addr := range y.callers {
 		name := fmt.Sprintf("entry-%d", i+1)
 		path := y.write(name+".json", map[string]any{
-			"name": name, "zone": zone(i), "listen": addr, "inner": inner[i], "control": y.inner, "drain": "300ms",
+			"name": name, "zone": zone(i), "listen": addr, "inner": inner[i], "control": y.inner, "drain": "300ms", "trace": filepath.Join(y.dir, name+".spans"),
 		})
 		y.entries = append(y.entries, y.process(name, program, "entry", "--settings", path))
 	}
