Test that an order arriving twice at its owner runs once

Cause: grpc may resend a call by itself; the owner's rule against it had no test. Change: a test sends the same attempt to an owner twice. Measured: passes; with the rule taken out the second arrival was answered by the backend server and the test failed.

--- a/test/e2e/order_test.go
+++ b/test/e2e/order_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"gentianpond/internal/host/gateway"
+	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/search/caller"
 	"gentianpond/test/fakes/searcher"
 )
 
@@ -101,3 +104,24 @@
 		})
 	}
 }
+
+// TestResentCall guards against an order that runs twice because grpc resends
+// the call to its owner: the second arrival of an attempt is not run, and its
+// status does not claim that the order did not start.
+func TestResentCall(t *testing.T) {
+	y := newSystem(t, shape{control: 1, entries: 1, shards: 1, replicas: 1, section: section2})
+	conn, err := messenger.Dial(y.hosts[0])
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	r := &messenger.RunRequest{
+		Attempt: "resent", Archive: "albums", Body: []byte(`"resent"`), Server: y.settings[0].Name, Incarnation: y.stats(0).Incarnation,
+		Deadline: durationpb.New(time.Second), Snapshot: "1",
+	}
+	first, err := messenger.NewEntryClient(conn).Run(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, caller.Answered, caller.Status(first.GetStatus()))
+	second, err := messenger.NewEntryClient(conn).Run(t.Context(), r)
+	require.NoError(t, err)
+	require.Equal(t, caller.Failed, caller.Status(second.GetStatus()))
+	require.Equal(t, 1, y.executions()[`"resent"`])
+}
--- a/test/e2e/system_test.go
+++ b/test/e2e/system_test.go
@@ -125,6 +125,7 @@
 	entries  []*process
 	fakes    []*process
 	inner    []netip.AddrPort
+	hosts    []netip.AddrPort
 	callers  []netip.AddrPort
 	addrs    []netip.AddrPort
 	settings []searcher.Settings
@@ -154,7 +155,8 @@
 	y.inner = take(s.control)
 	y.writeControl(take(s.control))
 	y.callers = take(s.entries)
-	y.writeEntries(take(s.entries))
+	y.hosts = take(s.entries)
+	y.writeEntries(y.hosts)
 	y.addrs = take(s.shards * s.replicas)
 	t.Cleanup(y.stop)
 	y.startControl()
