Remove unused parts and share the load loop of the tests

Cause: a reading of the whole change found a field and a method that nothing used, an atomic that its mutex already guards, a result that was always empty, and one loop that four tests with processes repeated. Change: they are gone; the tests call load.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -77,9 +77,10 @@
 
 	configured atomic.Pointer[configuration]
 	draining   atomic.Bool
-	closed     atomic.Bool
-	requests   sync.WaitGroup
+	// requestMu guards closed: no request is counted after the wait began.
 	requestMu  sync.Mutex
+	closed     bool
+	requests   sync.WaitGroup
 	background sync.WaitGroup
 	refreshMu  sync.Mutex
 	built      built
@@ -154,7 +155,7 @@
 	g.log.Info("stopping, waiting for the load balancer", "wait", g.settings.Drain)
 	sleep(ctx, g.settings.Drain)
 	g.requestMu.Lock()
-	g.closed.Store(true)
+	g.closed = true
 	g.requestMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
@@ -177,7 +178,7 @@
 func (g *Gateway) begin() bool {
 	g.requestMu.Lock()
 	defer g.requestMu.Unlock()
-	if g.closed.Load() {
+	if g.closed {
 		return false
 	}
 	g.requests.Add(1)
--- a/internal/search/coordinator/directory.go
+++ b/internal/search/coordinator/directory.go
@@ -29,7 +29,6 @@
 
 type archive struct {
 	settings checker.Archive
-	team     string
 	snapshot *pinner.Map
 }
 
@@ -51,7 +50,7 @@
 	}
 	for _, section := range document.Sections {
 		for _, a := range section.Archives {
-			d.archives[a.Name] = archive{settings: a, team: section.Team, snapshot: pinner.Build(offers[a.Name], uint32(a.Shards))}
+			d.archives[a.Name] = archive{settings: a, snapshot: pinner.Build(offers[a.Name], uint32(a.Shards))}
 		}
 	}
 	return d
@@ -94,11 +93,3 @@
 	b, ok := d.backends[name]
 	return b, ok
 }
-
-// Backends returns the number of usable backend servers.
-func (d *Directory) Backends() int {
-	if d == nil {
-		return 0
-	}
-	return len(d.backends)
-}
--- a/internal/search/coordinator/guard.go
+++ b/internal/search/coordinator/guard.go
@@ -72,7 +72,4 @@
 
 // undecided notes that the sub-request that was to prove the query harmless
 // neither ran nor crashed. Nothing more is sent.
-func (g *guard) undecided() step {
-	g.stopped = true
-	return step{}
-}
+func (g *guard) undecided() { g.stopped = true }
--- a/internal/search/coordinator/handle.go
+++ b/internal/search/coordinator/handle.go
@@ -55,7 +55,7 @@
 	}
 	retried := q.retry(ctx, shard, status)
 	if !retried && (a.alone || q.guard.canary) {
-		q.proceed(ctx, q.guard.undecided())
+		q.guard.undecided()
 	}
 }
 
@@ -75,15 +75,16 @@
 
 // proceed sends the shards that the guard has released.
 func (q *query) proceed(ctx context.Context, next step) {
-	if len(next.shards) > 0 {
-		why := retry
-		if next.held {
-			why = first
-		}
-		unsent := q.send(ctx, next.shards, why)
-		if next.alone && len(unsent) > 0 {
-			q.guard.undecided()
-		}
+	if len(next.shards) == 0 {
+		return
+	}
+	why := retry
+	if next.held {
+		why = first
+	}
+	unsent := q.send(ctx, next.shards, why)
+	if next.alone && len(unsent) > 0 {
+		q.guard.undecided()
 	}
 }
 
--- a/test/e2e/slots_test.go
+++ b/test/e2e/slots_test.go
@@ -18,21 +18,13 @@
 // it ends.
 func TestSlots(t *testing.T) {
 	y := newSystem(t, shape{control: 3, entries: 3, shards: 4, replicas: 2, section: section, behavior: searcher.Behavior{Delay: 20 * time.Millisecond}})
-	stop := make(chan struct{})
-	workers := parallel(24, func(w int) {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			default:
-			}
-			lane := gateway.Interactive
-			if w%3 == 0 {
-				lane = gateway.Bulk
-			}
-			if a, err := y.search(y.callers[w%3], fmt.Sprintf(`"slots %d %d"`, w, i), lane); err == nil {
-				checkSearch(t, a)
-			}
+	stop := load(24, func(w, i int) {
+		lane := gateway.Interactive
+		if w%3 == 0 {
+			lane = gateway.Bulk
+		}
+		if a, err := y.search(y.callers[w%3], fmt.Sprintf(`"slots %d %d"`, w, i), lane); err == nil {
+			checkSearch(t, a)
 		}
 	})
 	time.Sleep(time.Second)
@@ -44,8 +36,7 @@
 	time.Sleep(7 * time.Second)
 	y.entries[1].signal(syscall.SIGCONT)
 	time.Sleep(2 * time.Second)
-	close(stop)
-	workers.Wait()
+	stop()
 	y.checkLimits()
 	most := 0
 	for i := range y.settings {
--- a/test/e2e/snapshot_test.go
+++ b/test/e2e/snapshot_test.go
@@ -18,29 +18,21 @@
 // of shards and withdraw the old one.
 func TestRepartition(t *testing.T) {
 	y := newSystem(t, shape{control: 3, entries: 2, shards: 4, replicas: 2, section: section2, behavior: searcher.Behavior{Delay: 5 * time.Millisecond}})
-	stop := make(chan struct{})
 	var ran, partial, refused atomic.Int64
-	workers := parallel(4, func(w int) {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			default:
-			}
-			a, err := y.search(y.callers[w%2], fmt.Sprintf(`"move %d %d"`, w, i), gateway.Interactive)
-			if !assert.NoError(t, err) {
-				return
-			}
-			checkSearch(t, a)
-			switch {
-			case a.Outcome != gateway.Ran:
-				refused.Add(1)
-			case len(a.Coverage.Missing) > 0:
-				partial.Add(1)
-			default:
-				ran.Add(1)
-				assert.Equal(t, map[string]uint32{"1": 4, "2": 2}[a.Snapshot], a.Coverage.Shards)
-			}
+	stop := load(4, func(w, i int) {
+		a, err := y.search(y.callers[w%2], fmt.Sprintf(`"move %d %d"`, w, i), gateway.Interactive)
+		if !assert.NoError(t, err) {
+			return
+		}
+		checkSearch(t, a)
+		switch {
+		case a.Outcome != gateway.Ran:
+			refused.Add(1)
+		case len(a.Coverage.Missing) > 0:
+			partial.Add(1)
+		default:
+			ran.Add(1)
+			assert.Equal(t, map[string]uint32{"1": 4, "2": 2}[a.Snapshot], a.Coverage.Shards)
 		}
 	})
 	old := func(i int) searcher.Served {
@@ -59,8 +51,7 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
-	close(stop)
-	workers.Wait()
+	stop()
 	t.Logf("%d complete, %d partial, %d without an answer", ran.Load(), partial.Load(), refused.Load())
 	require.NotZero(t, ran.Load())
 	a, err := y.search(y.callers[0], `"after"`, gateway.Interactive)
@@ -73,28 +64,19 @@
 // snapshots, so the pinned one disappears under running queries.
 func TestAbruptMove(t *testing.T) {
 	y := newSystem(t, shape{control: 3, entries: 2, shards: 4, replicas: 2, section: section2, behavior: searcher.Behavior{Delay: 5 * time.Millisecond}})
-	stop := make(chan struct{})
-	workers := parallel(4, func(w int) {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			default:
-			}
-			a, err := y.search(y.callers[w%2], fmt.Sprintf(`"jump %d %d"`, w, i), gateway.Interactive)
-			if !assert.NoError(t, err) {
-				return
-			}
-			checkSearch(t, a)
+	stop := load(4, func(w, i int) {
+		a, err := y.search(y.callers[w%2], fmt.Sprintf(`"jump %d %d"`, w, i), gateway.Interactive)
+		if !assert.NoError(t, err) {
+			return
 		}
+		checkSearch(t, a)
 	})
 	for i := range y.fakes {
 		y.serve(i, []searcher.Served{{Archive: "albums", Snapshot: "2", Count: 4, Shards: []uint32{uint32(i / 2)}}})
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
-	close(stop)
-	workers.Wait()
+	stop()
 	a, err := y.search(y.callers[0], `"after"`, gateway.Interactive)
 	require.NoError(t, err)
 	require.Equal(t, "2", a.Snapshot)
--- a/test/e2e/stop_test.go
+++ b/test/e2e/stop_test.go
@@ -71,19 +71,9 @@
 // announced that it is leaving, 3 s and later after the announcement.
 func TestDrainingServer(t *testing.T) {
 	y := newSystem(t, shape{control: 3, entries: 3, shards: 4, replicas: 2, section: section})
-	stop := make(chan struct{})
-	workers := parallel(3, func(w int) {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			default:
-				_, _ = y.search(y.callers[w], fmt.Sprintf(`"drain %d %d"`, w, i), gateway.Interactive)
-			}
-		}
-	})
-	defer workers.Wait()
-	defer close(stop)
+	defer load(3, func(w, i int) {
+		_, _ = y.search(y.callers[w], fmt.Sprintf(`"drain %d %d"`, w, i), gateway.Interactive)
+	})()
 	y.await("work for the server", func() bool { return y.stats(0).Searches > 0 })
 	y.behave(0, searcher.Behavior{Draining: true})
 	time.Sleep(3 * time.Second)
--- a/test/e2e/system_test.go
+++ b/test/e2e/system_test.go
@@ -393,3 +393,23 @@
 	}
 	return &group
 }
+
+// load runs f in n goroutines over and over until the returned function is
+// called, which waits for all. The arguments number the goroutine and the round.
+func load(n int, f func(w, i int)) (stop func()) {
+	stopped := make(chan struct{})
+	group := parallel(n, func(w int) {
+		for i := 0; ; i++ {
+			select {
+			case <-stopped:
+				return
+			default:
+				f(w, i)
+			}
+		}
+	})
+	return func() {
+		close(stopped)
+		group.Wait()
+	}
+}
