--- a/cmd/gentianpond/main.go
+++ b/cmd/gentianpond/main.go
@@ -57,7 +57,7 @@
 	p.Version = version
 	commands := []command{
 		newEntry(), newControl(), newForm(), newDemo(), newCheck(), newApply(), newShow(), newStatus(),
-		newSearch(), newOrder(), newQuarantine(),
+		newSearch(), newOrder(), newQuarantine(), newRelay(), newMember(),
 	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
--- /dev/null
+++ b/cmd/gentianpond/member.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/control/server"
+	"gentianpond/internal/host/runner"
+	"gentianpond/internal/observe/reporter"
+	"gentianpond/internal/settings/loader"
+	"gentianpond/platform"
+)
+
+const helpMember = `Run a control host of an open group: keep the routing document and the registry
+of backend servers, replicated with the other control hosts.
+
+The hosts find each other through the seeds in their settings. A host whose data
+folder is empty joins the group that it finds.`
+
+func newMember() command {
+	sub := newSubcommand("member", helpMember)
+	path := "member.json"
+	sub.String(&path, "s", "settings", "File with the settings of this host.")
+	return command{sub: sub, run: func(context.Context) error {
+		s, err := loader.ReadMember(path)
+		if err != nil {
+			return errors.Wrap(errUsage, err.Error())
+		}
+		return runMember(path, s)
+	}}
+}
+
+func runMember(path string, s loader.Member) (err error) {
+	metrics := reporter.NewMetrics()
+	defer func() { err = errors.Join(err, metrics.Close()) }()
+	logger, logs := reporter.Stream(os.Stdout, "control "+s.Name)
+	logger.Info("starting", "zone", s.Zone, "listen", s.Listen, "inner", s.Inner, "seeds", s.Seeds, "bootstrap", s.Bootstrap)
+	c, err := server.New(server.Settings{
+		Name:      s.Inner.Addr().String(),
+		Zone:      s.Zone,
+		Inner:     s.Inner,
+		Data:      s.Data,
+		Seeds:     s.Seeds,
+		Bootstrap: s.Bootstrap,
+		Voters:    2*s.Losses + 1,
+	}, logger, metrics.Scope)
+	if err != nil {
+		return err
+	}
+	api := &http.Server{
+		Addr:              s.Listen.String(),
+		Handler:           platform.Control(c, s.Listen.Port(), logger),
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+	}
+	var group runner.Group
+	group.Add(c.Run)
+	group.Add(logs.Run)
+	group.AddCloser(api.ListenAndServe, func() { _ = api.Close() })
+	addMetrics(&group, metrics, s.Metrics)
+	group.AddReload(path, func() error {
+		fresh, err := loader.ReadMember(path)
+		if err == nil {
+			c.Seed(fresh.Seeds)
+		}
+		return err
+	}, logger)
+	group.AddSignals(func(ctx context.Context) { logger.Info("stopping") })
+	return group.Run()
+}
+
+// addMetrics serves the metrics page unless there is no address for it.
+func addMetrics(group *runner.Group, metrics *reporter.Metrics, address netip.AddrPort) {
+	if !address.IsValid() {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics.Page)
+	page := &http.Server{Addr: address.String(), Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	group.AddCloser(page.ListenAndServe, func() { _ = page.Close() })
+}
--- a/internal/control/journaler/journal.go
+++ b/internal/control/journaler/journal.go
@@ -63,7 +63,13 @@
 func Create(folder string) (uint64, error) { return CreateOn(System{}, folder) }
 
 // CreateOn is Create on another disk.
-func CreateOn(disk Disk, folder string) (identity uint64, err error) {
+func CreateOn(disk Disk, folder string) (uint64, error) {
+	return CreateAs(disk, folder, newIdentity())
+}
+
+// CreateAs is CreateOn with a given identity, which must never have been used by
+// another folder. Hosts of a new group use it to know each other's.
+func CreateAs(disk Disk, folder string, id uint64) (identity uint64, err error) {
 	if err := disk.MakeFolder(folder); err != nil {
 		return 0, errors.Wrap(err, "create data folder")
 	}
@@ -85,7 +91,7 @@
 	if err := disk.SyncFolder(filepath.Dir(filepath.Clean(folder))); err != nil {
 		return 0, fmt.Errorf("create data folder: %w: %w", ErrFailed, err)
 	}
-	j := Journal{disk: disk, folder: folder, state: State{Identity: newIdentity()}}
+	j := Journal{disk: disk, folder: folder, state: State{Identity: id}}
 	if err := j.start(1, &j.state); err != nil {
 		return 0, errors.Wrap(err, "create data folder")
 	}
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -1,7 +1,8 @@
 // Package keeper is the state machine that the replicated log drives. It holds
-// the configuration, the order ledger, the quarantine and the view of entry
-// hosts. All hosts that apply the same commands hold the same state: it reads
-// no clock and no random numbers and does no I/O.
+// the configuration, the routing document, the registry of backend servers, the
+// order ledger, the quarantine and the view of entry hosts. All hosts that apply
+// the same commands hold the same state: it reads no clock and no random numbers
+// and does no I/O.
 package keeper
 
 import (
@@ -10,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
+	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/protocol/messenger"
@@ -36,6 +38,10 @@
 	Released bool
 	// Viewed reports whether the view changed.
 	Viewed bool
+	// Published is the version of the routing document in force.
+	Published uint64
+	// Registered is the number of servers whose record changed.
+	Registered int
 }
 
 // Keeper is the state machine. Use New. It is not safe for concurrent use.
@@ -46,6 +52,9 @@
 	ledger *recorder.Ledger
 	book   *quarantiner.Book
 	view   view
+
+	routing  routing
+	registry *registrar.Registry
 }
 
 // New returns a keeper in its first state. The check must give the same faults
@@ -55,6 +64,8 @@
 		config: newConfig(check),
 		ledger: recorder.New(recorder.Limits{}),
 		book:   quarantiner.New(quarantiner.Limits{}),
+
+		registry: registrar.New(),
 	}
 	return k
 }
@@ -116,6 +127,10 @@
 		return Result{Released: k.release(action.Release)}
 	case *messenger.Command_View:
 		return Result{Viewed: k.view.apply(action.View)}
+	case *messenger.Command_Publish:
+		return Result{Published: k.routing.publish(action.Publish)}
+	case *messenger.Command_Register:
+		return Result{Registered: k.register(action.Register.GetList())}
 	default:
 		return Result{Err: ErrCommand}
 	}
--- a/internal/control/keeper/snapshot.go
+++ b/internal/control/keeper/snapshot.go
@@ -25,6 +25,7 @@
 	k.config.save(state)
 	k.saveLedger(state)
 	k.saveBook(state)
+	k.saveRouting(state)
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot")
@@ -88,6 +89,9 @@
 	restored.view = view{number: state.View.GetNumber(), members: state.View.GetMembers(), departed: state.Departed}
 	restored.loadLedger(&state)
 	restored.loadBook(&state)
+	if err := restored.loadRouting(&state); err != nil {
+		return errors.Wrap(err, "restore the registry")
+	}
 	*k = *restored
 	return nil
 }
--- a/internal/control/repairer/repairer.go
+++ b/internal/control/repairer/repairer.go
@@ -30,6 +30,13 @@
 	Recent time.Duration
 	// Live is the longest silence of a member that counts as live.
 	Live time.Duration
+	// Voters is the number of voters to keep, further hosts being learners that
+	// stand by; 0 makes every host a voter.
+	Voters int
+	// Lost is the silence after which a voter is removed once there are more
+	// than Voters; Forgotten that after which a learner is. 0 means never.
+	Lost      time.Duration
+	Forgotten time.Duration
 }
 
 // Host is a configured control host.
@@ -67,7 +74,7 @@
 	}
 	d := newDecision(limits, hosts, status, hellos)
 	var waits []string
-	for _, step := range []func() Plan{d.remove, d.promote, d.add} {
+	for _, step := range []func() Plan{d.remove, d.removeLost, d.promote, d.add} {
 		p := step()
 		if _, ok := p.Change.Get(); ok {
 			return p
@@ -145,9 +152,57 @@
 	return Plan{Reason: wait}
 }
 
+// removeLost removes a voter that was replaced by a learner, and a learner that
+// went away, by their silence alone.
+func (d *decision) removeLost() Plan {
+	for _, m := range d.status.Members {
+		if m.ID == d.status.ID {
+			continue
+		}
+		lost := m.Voter && d.limits.Lost > 0 && m.Silence >= d.limits.Lost && d.voterCount() > d.limits.Voters && d.keepsQuorum(m.ID, 0)
+		forgotten := !m.Voter && d.limits.Forgotten > 0 && m.Silence >= d.limits.Forgotten
+		if !lost && !forgotten {
+			continue
+		}
+		return Plan{
+			Change: container.Some(replicator.Change{Kind: replicator.Remove, Member: m.Member}),
+			Reason: fmt.Sprintf("id %d of host %s has been silent for %s and is not needed", m.ID, m.Name, m.Silence),
+		}
+	}
+	return Plan{}
+}
+
+// wanted reports whether another voter is needed: there are fewer than the
+// number to keep, not counting those that are due for replacement.
+func (d *decision) wanted() bool {
+	if d.limits.Voters == 0 {
+		return true
+	}
+	counted := 0
+	for _, m := range d.status.Members {
+		if m.Voter && (m.ID == d.status.ID || d.limits.Lost == 0 || m.Silence < d.limits.Lost) {
+			counted++
+		}
+	}
+	return counted < d.limits.Voters
+}
+
+func (d *decision) voterCount() int {
+	n := 0
+	for _, m := range d.status.Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 // promote makes a learner a voter that holds everything committed; of several,
 // one in the zone with the fewest voters.
 func (d *decision) promote() Plan {
+	if !d.wanted() {
+		return Plan{}
+	}
 	wait := ""
 	var best container.Option[replicator.MemberStatus]
 	for _, m := range d.status.Members {
--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -67,6 +67,7 @@
 	defaultMaxInflight     = 8
 	defaultMaxPending      = 16 << 20
 	defaultTrailing        = 1024
+	defaultTrailingBytes   = 4 << 20
 )
 
 // minHeartbeats is the least number of heartbeats in an election timeout; with
@@ -100,8 +101,9 @@
 	// committed.
 	MaxPending int
 	// Trailing is how many entries stay in memory behind a snapshot, for
-	// members that are slightly behind.
-	Trailing int
+	// members that are slightly behind, TrailingBytes how many bytes of them.
+	Trailing      int
+	TrailingBytes int
 }
 
 // Role is what a member currently does in its term.
@@ -205,6 +207,7 @@
 	setDefault(&cfg.MaxInflight, defaultMaxInflight)
 	setDefault(&cfg.MaxPending, defaultMaxPending)
 	setDefault(&cfg.Trailing, defaultTrailing)
+	setDefault(&cfg.TrailingBytes, defaultTrailingBytes)
 	if cfg.ElectionTimeout < minHeartbeats*cfg.Heartbeat {
 		return errors.Wrapf(ErrConfig, "election timeout %s is shorter than %d heartbeats of %s",
 			cfg.ElectionTimeout, minHeartbeats, cfg.Heartbeat)
--- a/internal/control/replicator/core_test.go
+++ b/internal/control/replicator/core_test.go
@@ -59,7 +59,7 @@
 
 // Guards against a core that cannot elect, replicate, grow or compact at all.
 func TestBasic(t *testing.T) {
-	first := testCore(t, 1, Bootstrap(testMember(1, true), []byte("state")))
+	first := testCore(t, 1, Bootstrap([]byte("state"), testMember(1, true)))
 	cores := map[uint64]*Core{1: first}
 	applied := map[uint64][]string{}
 	now := 2 * defaultElectionTimeout
@@ -92,7 +92,7 @@
 // group returns a core of a group of three voters that holds entries.
 func group(t *testing.T, hs HardState, entries ...Entry) *Core {
 	t.Helper()
-	snap := Bootstrap(testMember(1, true), nil)
+	snap := Bootstrap(nil, testMember(1, true))
 	snap.Members = append(snap.Members, testMember(2, true), testMember(3, true))
 	c, err := New(Config{
 		ID:         1,
--- a/internal/control/replicator/entry.go
+++ b/internal/control/replicator/entry.go
@@ -1,6 +1,10 @@
 package replicator
 
-import "github.com/go-faster/errors"
+import (
+	"slices"
+
+	"github.com/go-faster/errors"
+)
 
 // EntryKind says what an entry holds.
 type EntryKind uint8
@@ -44,11 +48,15 @@
 	Data    []byte
 }
 
-// Bootstrap returns the first state of a new group: its only voter is m and
-// its state machine holds data.
-func Bootstrap(m Member, data []byte) Snapshot {
-	m.Voter = true
-	return Snapshot{Index: 1, Term: 1, Members: []Member{m}, Data: data}
+// Bootstrap returns the first state of a new group: its state machine holds
+// data and its members are voters. A group with several voters needs the same
+// first state on each of them.
+func Bootstrap(data []byte, voters ...Member) Snapshot {
+	members := slices.Clone(voters)
+	for i := range members {
+		members[i].Voter = true
+	}
+	return Snapshot{Index: 1, Term: 1, Members: sorted(members), Data: data}
 }
 
 // checkEntries reports entries that do not continue a log that ends at index
@@ -126,6 +134,20 @@
 	l.written = index
 }
 
+// trailing returns how many entries up to index to keep: at most count, of at
+// most size bytes together.
+func (l *entryLog) trailing(index uint64, count, size int) uint64 {
+	kept := uint64(0)
+	for kept < uint64(count) && index-kept > l.base {
+		size -= l.entries[index-kept-l.base-1].size()
+		if size < 0 {
+			break
+		}
+		kept++
+	}
+	return kept
+}
+
 // compact forgets the entries up to index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.base {
--- a/internal/control/server/duties.go
+++ b/internal/control/server/duties.go
@@ -13,36 +13,9 @@
 	"gentianpond/internal/protocol/messenger"
 )
 
-// hello is the last sign of life of a control host.
-type hello struct {
-	id uint64
-	at time.Duration
-}
-
-// hellos holds the last sign of life of each configured control host.
-type hellos map[string]hello
-
-// list returns the signs of life for the repairer.
-func (h hellos) list(now time.Duration) []repairer.Hello {
-	var list []repairer.Hello
-	for name, sign := range h {
-		list = append(list, repairer.Hello{Name: name, ID: sign.id, Age: now - sign.at})
-	}
-	return list
-}
-
-// nameOf returns the host that last used an id.
-func (h hellos) nameOf(id uint64) string {
-	for name, sign := range h {
-		if sign.id == id {
-			return name
-		}
-	}
-	return ""
-}
-
 // duties does what is due without any event.
 func (l *loop) duties(now time.Duration) {
+	l.answerWatchers(now)
 	if !l.leads() {
 		l.greet(now)
 		return
@@ -53,6 +26,7 @@
 	l.dutyAt = now + duty
 	l.maintainView(now)
 	l.maintainMembers(now)
+	l.noteSilent(now)
 }
 
 // greet announces this host's id to the others while it knows no leader: it
@@ -62,7 +36,7 @@
 		return
 	}
 	l.greetAt = now + greeting
-	for _, h := range l.settings.Hosts {
+	for _, h := range l.greeted() {
 		if h.Name != l.settings.Name {
 			l.senders.send(h.Address, outgoing{name: h.Name})
 		}
@@ -113,7 +87,7 @@
 // maintainMembers takes the next step of a repair.
 func (l *loop) maintainMembers(now time.Duration) {
 	status := l.core.Status()
-	plan := repairer.Next(repairer.Limits{}, l.settings.Hosts, status, l.hellos.list(now))
+	plan := repairer.Next(l.limits(), l.hosts(), status, l.hellos.list(now))
 	change, ok := plan.Change.Get()
 	if !ok {
 		l.noteRepair(plan.Reason)
--- a/internal/control/server/form.go
+++ b/internal/control/server/form.go
@@ -1,9 +1,13 @@
 package server
 
 import (
+	"cmp"
 	"context"
+	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
 
@@ -93,12 +97,17 @@
 	if state.Hard != (journaler.HardState{}) || state.Last() != 0 {
 		return errors.Wrapf(ErrFormed, "data folder %s", settings.Data)
 	}
+	h, _ := settings.host(settings.Name)
+	return writeState(journal, settings, replicator.Member{ID: state.Identity, Name: h.Name, Zone: settings.Zone, Address: h.Address})
+}
+
+// writeState writes the first state of a group of voters.
+func writeState(journal *journaler.Journal, settings Settings, voters ...replicator.Member) error {
 	data, err := keeper.New(settings.Check).Snapshot()
 	if err != nil {
 		return err
 	}
-	h, _ := settings.host(settings.Name)
-	first := replicator.Bootstrap(replicator.Member{ID: state.Identity, Name: h.Name, Zone: settings.Zone, Address: h.Address}, data)
+	first := replicator.Bootstrap(data, voters...)
 	stored, err := storedSnapshot(first)
 	if err != nil {
 		return err
@@ -106,3 +115,35 @@
 	hard := journaler.HardState{Term: first.Term, Commit: first.Index}
 	return journal.Save(journaler.Batch{Hard: &hard, Snapshot: &stored})
 }
+
+// founds reports whether this host is one of the first voters of an open group
+// that starts for the first time.
+func (s *Settings) founds() bool {
+	return s.Bootstrap && s.open() && slices.Contains(s.Seeds, s.Inner)
+}
+
+// founderID is the identity of the first data folder of a seed. All seeds know
+// each other's without a message, so that they write the same first state. A
+// folder made later has a random identity: a seed that lost its disk never
+// counts as the voter that it was.
+func founderID(seed netip.AddrPort) uint64 {
+	return cmp.Or(xxhash.Sum64String("founder "+seed.String()), 1)
+}
+
+// writeFounders writes the first state of an open group, whose voters are the
+// seeds.
+func writeFounders(settings Settings) (err error) {
+	if _, err := journaler.CreateAs(settings.disk, settings.Data, founderID(settings.Inner)); err != nil {
+		return errors.Wrap(err, "form")
+	}
+	journal, _, err := journaler.OpenOn(settings.disk, settings.Data)
+	if err != nil {
+		return errors.Wrap(err, "form")
+	}
+	defer func() { err = errors.Join(err, journal.Close()) }()
+	var voters []replicator.Member
+	for _, seed := range settings.Seeds {
+		voters = append(voters, replicator.Member{ID: founderID(seed), Name: seed.Addr().String(), Address: seed})
+	}
+	return errors.Wrap(writeState(journal, settings, voters...), "form")
+}
--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -30,6 +30,8 @@
 	// pauseLimit is the time between two rounds of the loop after which this
 	// host counts as having been stopped.
 	pauseLimit = time.Second
+	// fullPause is the time between two attempts to write to a full disk.
+	fullPause = 100 * time.Millisecond
 )
 
 // roleWaiting is the role of a host whose log holds no membership.
@@ -70,6 +72,18 @@
 
 	roster *roster
 	hellos hellos
+	// named holds control hosts that another host named.
+	named []netip.AddrPort
+	// publishKnown passes on the addresses of the members.
+	publishKnown func([]string)
+
+	attendance *attendance
+	enrolments []enrolment
+	// silencing is set while a change to silent is not applied.
+	silencing bool
+	audience  *audience
+	watchers  []watcher
+	watchAt   time.Duration
 	// viewing is set while a change of the view is not applied.
 	viewing bool
 	// repair is why the membership is or is not changed now.
@@ -82,6 +96,8 @@
 	dutyAt   time.Duration
 	greetAt  time.Duration
 	failure  error
+	// stopping ends when the host has to stop.
+	stopping context.Context
 }
 
 // newLoop resumes from the state that the journal holds.
@@ -100,8 +116,11 @@
 		waiters:  map[uint64]waiter{},
 		reads:    map[uint64]func(bool){},
 		roster:   newRoster(0),
-		hellos:   hellos{},
-		snapshot: snapshotMark{index: snapshot.Index, size: len(snapshot.Data)},
+
+		attendance: newAttendance(0),
+		audience:   newAudience(0),
+		hellos:     hellos{},
+		snapshot:   snapshotMark{index: snapshot.Index, size: len(snapshot.Data)},
 	}
 	if snapshot.Index > 0 {
 		if err := l.keeper.Restore(snapshot.Data); err != nil {
@@ -132,6 +151,7 @@
 // run handles events until ctx ends. It returns an error when the durable
 // state can no longer be trusted or extended.
 func (l *loop) run(ctx context.Context, queue <-chan event) error {
+	l.stopping = ctx
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
@@ -167,8 +187,10 @@
 	now := l.now()
 	if now-l.round > pauseLimit {
 		l.roster.pause(now)
+		l.attendance.pause(now)
 	}
 	l.round = now
+	l.enrol()
 	l.core.Tick(now)
 	if err := l.settle(); err != nil {
 		return err
@@ -231,7 +253,17 @@
 		return err
 	}
 	defer l.scope.Timer("save").Start().Stop()
-	return l.journal.Save(b)
+	err = l.journal.Save(b)
+	if errors.Is(err, journaler.ErrFull) {
+		l.log.Error("disk is full, waiting for room", "err", err)
+	}
+	// Nothing was stored and nothing may be sent. While this host waits the
+	// others elect another leader.
+	for errors.Is(err, journaler.ErrFull) && l.stopping.Err() == nil {
+		time.Sleep(fullPause)
+		err = l.journal.Save(b)
+	}
+	return err
 }
 
 func (l *loop) apply(r replicator.Ready) error {
@@ -340,6 +372,9 @@
 			name, addr = m.Name, m.Address
 		}
 	}
+	if sign, ok := l.hellos[name]; ok && !addr.IsValid() {
+		addr = sign.address
+	}
 	if h, ok := l.settings.host(name); ok {
 		addr = h.Address
 	}
@@ -399,11 +434,16 @@
 	s := l.seen
 	l.scope.Gauge("term").Update(float64(s.Term))
 	l.scope.Gauge("applied").Update(float64(s.Applied))
+	if l.publishKnown != nil && (s.Leader != last.Leader || len(s.Members) != len(last.Members) || s.Term != last.Term) {
+		l.publishKnown(addresses(s))
+	}
 	if s.Role == last.Role && s.Term == last.Term && s.Leader == last.Leader {
 		return
 	}
 	if s.Role == replicator.RoleLeader {
 		l.roster = newRoster(l.now())
+		l.attendance = newAttendance(l.now())
+		l.audience = newAudience(l.now())
 		l.repair = ""
 	}
 	l.logRole(last, s)
--- /dev/null
+++ b/internal/control/server/relay.go
@@ -0,0 +1,180 @@
+package server
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/protocol/messenger"
+)
+
+const (
+	// relayLimit bounds a request that came to this host, wherever the leader is.
+	// Callers give a host one second.
+	relayLimit = 900 * time.Millisecond
+	// relayTry bounds one call to the leader, so that there is time for another.
+	relayTry = 600 * time.Millisecond
+	// relayPause is the wait before the leader is looked for again.
+	relayPause = 30 * time.Millisecond
+)
+
+// Errors of requests that this host passes on to the leader.
+var (
+	// ErrNoLeader means that no leader confirmed the request in time. Whether it
+	// took effect is unknown.
+	ErrNoLeader = errors.New("no control leader confirmed the request")
+	// ErrRefused means that the request is invalid and changed nothing.
+	ErrRefused = errors.New("invalid request")
+)
+
+// relays holds connections to leaders. The zero value is ready to use.
+type relays struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+func (r *relays) client(leader string, options []grpc.DialOption) (messenger.ControlClient, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if conn, ok := r.conns[leader]; ok {
+		return messenger.NewControlClient(conn), nil
+	}
+	addr, err := netip.ParseAddrPort(leader)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := messenger.Dial(addr, options...)
+	if err != nil {
+		return nil, err
+	}
+	if r.conns == nil {
+		r.conns = map[string]*grpc.ClientConn{}
+	}
+	r.conns[leader] = conn
+	return messenger.NewControlClient(conn), nil
+}
+
+// drop closes the connection to a leader that gave no answer.
+func (r *relays) drop(leader string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if conn, ok := r.conns[leader]; ok {
+		_ = conn.Close()
+		delete(r.conns, leader)
+	}
+}
+
+func (r *relays) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+	r.conns = nil
+}
+
+// verdict is a reply of a host that may not be the leader.
+type verdict interface {
+	GetGranted() bool
+	GetLeader() string
+}
+
+// lead asks this host and then the leader that it names, until one grants the
+// request. The request has to be safe to repeat.
+func lead[V verdict](ctx context.Context, s *Server, call func(context.Context, messenger.ControlServer) (V, error),
+	remote func(context.Context, messenger.ControlClient) (V, error)) (V, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayLimit)
+	defer cancel()
+	var none V
+	last := errors.New("no leader is known")
+	for {
+		reply, err := call(ctx, &service{server: s})
+		if err == nil && reply.GetGranted() {
+			return reply, "", nil
+		}
+		if leader := reply.GetLeader(); err == nil && leader != "" {
+			reply, err = passOn(ctx, s, leader, remote)
+			if err == nil && reply.GetGranted() {
+				return reply, leader, nil
+			}
+		}
+		if status.Code(err) == codes.InvalidArgument {
+			return none, "", errors.Wrap(ErrRefused, err.Error())
+		}
+		if err != nil {
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return none, "", errors.Wrap(ErrNoLeader, last.Error())
+		case <-time.After(relayPause):
+		}
+	}
+}
+
+func passOn[V verdict](ctx context.Context, s *Server, leader string, remote func(context.Context, messenger.ControlClient) (V, error)) (V, error) {
+	client, err := s.leaders.client(leader, s.settings.DialOptions)
+	if err != nil {
+		var none V
+		return none, err
+	}
+	try, cancel := context.WithTimeout(ctx, relayTry)
+	defer cancel()
+	reply, err := remote(try, client)
+	if code := status.Code(err); code == codes.DeadlineExceeded || code == codes.Unavailable {
+		s.leaders.drop(leader)
+	}
+	return reply, err
+}
+
+// Publish stores a routing document and returns the version in force. Errors
+// are ErrNoLeader and ErrRefused.
+func (s *Server) Publish(ctx context.Context, version uint64, text []byte) (uint64, error) {
+	r := &messenger.PublishRequest{Version: version, Text: text}
+	reply, _, err := lead(ctx, s,
+		func(ctx context.Context, c messenger.ControlServer) (*messenger.PublishReply, error) {
+			return c.Publish(ctx, r)
+		},
+		func(ctx context.Context, c messenger.ControlClient) (*messenger.PublishReply, error) {
+			return c.Publish(ctx, r)
+		})
+	return reply.GetVersion(), err
+}
+
+// Read returns the routing document in force; its version is 0 while there is
+// none. The error is ErrNoLeader.
+func (s *Server) Read(ctx context.Context) (version uint64, text []byte, err error) {
+	r := &messenger.ReadRequest{}
+	reply, _, err := lead(ctx, s,
+		func(ctx context.Context, c messenger.ControlServer) (*messenger.ReadReply, error) {
+			return c.Read(ctx, r)
+		},
+		func(ctx context.Context, c messenger.ControlClient) (*messenger.ReadReply, error) {
+			return c.Read(ctx, r)
+		})
+	return reply.GetVersion(), reply.GetText(), err
+}
+
+// Register takes a check-in of a backend server. It returns the inner address of
+// the leader if that is another host. Errors are ErrNoLeader and ErrRefused.
+func (s *Server) Register(ctx context.Context, server registrar.Server) (netip.AddrPort, error) {
+	r := &messenger.RegisterRequest{Registration: server.Message()}
+	_, leader, err := lead(ctx, s,
+		func(ctx context.Context, c messenger.ControlServer) (*messenger.RegisterReply, error) {
+			return c.Register(ctx, r)
+		},
+		func(ctx context.Context, c messenger.ControlClient) (*messenger.RegisterReply, error) {
+			return c.Register(ctx, r)
+		})
+	if err != nil || leader == "" {
+		return netip.AddrPort{}, err
+	}
+	return netip.ParseAddrPort(leader)
+}
--- /dev/null
+++ b/internal/control/server/routing.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/control/keeper"
+	"gentianpond/internal/control/replicator"
+	"gentianpond/internal/protocol/messenger"
+)
+
+// publish stores a routing document. A version that is not higher than the one
+// in force is acknowledged without the log, after read confirmation: what
+// overtook it may not be lost.
+func (l *loop) publish(r *messenger.PublishRequest, done func(*messenger.PublishReply, error)) {
+	if !l.leads() {
+		done(&messenger.PublishReply{Leader: l.leader()}, nil)
+		return
+	}
+	if version, _ := l.keeper.Routing(); r.GetVersion() <= version {
+		l.confirm(func(confirmed bool) {
+			if !confirmed {
+				done(&messenger.PublishReply{Leader: l.leader()}, nil)
+				return
+			}
+			version, _ := l.keeper.Routing()
+			done(&messenger.PublishReply{Granted: true, Version: version}, nil)
+		})
+		return
+	}
+	l.propose(&messenger.Command{Action: &messenger.Command_Publish{Publish: r}}, func(result keeper.Result, err error) {
+		switch {
+		case errors.Is(err, replicator.ErrNotLeader):
+			done(&messenger.PublishReply{Leader: l.leader()}, nil)
+		case err != nil:
+			done(nil, proposeError(err))
+		default:
+			l.log.Info("routing document in force", "version", result.Published, "sent", r.GetVersion(), "bytes", len(r.GetText()))
+			done(&messenger.PublishReply{Granted: true, Version: result.Published}, nil)
+		}
+	})
+}
+
+// readRouting answers with the routing document once this host is known to have
+// led after the request came.
+func (l *loop) readRouting(done func(*messenger.ReadReply, error)) {
+	l.confirm(func(confirmed bool) {
+		if !confirmed {
+			done(&messenger.ReadReply{Leader: l.leader()}, nil)
+			return
+		}
+		version, text := l.keeper.Routing()
+		done(&messenger.ReadReply{Granted: true, Version: version, Text: text}, nil)
+	})
+}
--- a/internal/control/server/sender.go
+++ b/internal/control/server/sender.go
@@ -8,6 +8,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"gentianpond/internal/control/replicator"
 	"gentianpond/internal/protocol/messenger"
@@ -37,7 +39,11 @@
 	queue   chan outgoing
 	name    string
 	id      uint64
-	client  messenger.ControlClient
+	address string
+	zone    string
+	learn   func([]string)
+	conn    *grpc.ClientConn
+	dial    func() (*grpc.ClientConn, error)
 	dropped tally.Counter
 }
 
@@ -46,10 +52,15 @@
 	name    string
 	id      uint64
 	options []grpc.DialOption
-	scope   tally.Scope
-	ctx     context.Context
-	group   *sync.WaitGroup
-	peers   map[netip.AddrPort]*sender
+	// address and zone are those of this host.
+	address netip.AddrPort
+	zone    string
+	// learn takes the members that a greeted host names.
+	learn func([]string)
+	scope tally.Scope
+	ctx   context.Context
+	group *sync.WaitGroup
+	peers map[netip.AddrPort]*sender
 }
 
 // send queues a message and drops it when the peer's queue is full.
@@ -70,7 +81,8 @@
 	if peer, ok := s.peers[addr]; ok {
 		return peer, nil
 	}
-	conn, err := messenger.Dial(addr, s.options...)
+	dial := func() (*grpc.ClientConn, error) { return messenger.Dial(addr, s.options...) }
+	conn, err := dial()
 	if err != nil {
 		return nil, err
 	}
@@ -78,13 +90,17 @@
 		queue:   make(chan outgoing, senderQueue),
 		name:    s.name,
 		id:      s.id,
-		client:  messenger.NewControlClient(conn),
+		address: s.address.String(),
+		zone:    s.zone,
+		learn:   s.learn,
+		conn:    conn,
+		dial:    dial,
 		dropped: s.scope.Counter("messages_dropped"),
 	}
 	s.peers[addr] = peer
 	s.group.Go(func() {
 		peer.run(s.ctx)
-		_ = conn.Close()
+		_ = peer.conn.Close()
 	})
 	return peer, nil
 }
@@ -118,6 +134,8 @@
 		To:              m.name,
 		FromIncarnation: s.id,
 		ToIncarnation:   m.message.To,
+		Address:         s.address,
+		Zone:            s.zone,
 	}
 	return r, addMessage(r, m.message)
 }
@@ -156,9 +174,27 @@
 
 func (s *sender) exchange(ctx context.Context, r *messenger.ExchangeRequest, size int) {
 	timeout := exchangeTimeout + time.Duration(size)*time.Second/exchangeRate
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if _, err := s.client.Exchange(ctx, r); err != nil {
+	reply, err := messenger.NewControlClient(s.conn).Exchange(limited, r)
+	if err != nil {
 		s.dropped.Inc(int64(len(r.Messages)))
 	}
+	if status.Code(err) == codes.DeadlineExceeded && ctx.Err() == nil {
+		s.redial()
+	}
+	if len(reply.GetKnown()) > 0 && s.learn != nil {
+		s.learn(reply.GetKnown())
+	}
+}
+
+// redial replaces the connection after a call without an answer: a connection
+// can go silent for good while new ones work.
+func (s *sender) redial() {
+	conn, err := s.dial()
+	if err != nil {
+		return
+	}
+	_ = s.conn.Close()
+	s.conn = conn
 }
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -38,6 +38,10 @@
 	stopped  chan struct{}
 	draining atomic.Bool
 	calls    atomic.Int64
+	// known holds the addresses of the members, for hosts that look for them.
+	known atomic.Pointer[[]string]
+	// leaders holds the connections to other hosts as leaders.
+	leaders relays
 }
 
 // New opens the data folder. An empty one gets a new identity, under which the
@@ -73,6 +77,13 @@
 	if !errors.Is(err, journaler.ErrMissing) {
 		return journal, state, err
 	}
+	if s.settings.founds() {
+		if err := writeFounders(s.settings); err != nil {
+			return nil, state, err
+		}
+		s.log.Info("formed a group with the other seeds", "seeds", s.settings.Seeds)
+		return journaler.OpenOn(s.settings.disk, s.settings.Data)
+	}
 	id, err := journaler.CreateOn(s.settings.disk, s.settings.Data)
 	if err != nil {
 		return nil, state, err
@@ -108,10 +119,14 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group sync.WaitGroup
+	s.loop.publishKnown = func(list []string) { s.known.Store(&list) }
 	s.loop.senders = &senders{
 		name:    s.settings.Name,
 		id:      s.journal.Identity(),
 		options: s.settings.DialOptions,
+		address: s.settings.Inner,
+		zone:    s.settings.Zone,
+		learn:   s.learn,
 		scope:   s.scope,
 		ctx:     inner,
 		group:   &group,
@@ -131,6 +146,7 @@
 	rpc.Stop()
 	cancel()
 	group.Wait()
+	s.leaders.close()
 	return errors.Join(err, <-loopDone, s.journal.Close())
 }
 
@@ -140,6 +156,24 @@
 	return (&service{server: s}).Status(ctx, &messenger.StatusRequest{})
 }
 
+// Seed replaces the seeds after a change of the settings.
+func (s *Server) Seed(seeds []netip.AddrPort) {
+	s.log.Info("settings read again", "seeds", seeds)
+	select {
+	case s.queue <- func(l *loop) { l.settings.Seeds = seeds }:
+	case <-s.stopped:
+	}
+}
+
+// learn passes the members that another host named to the loop.
+func (s *Server) learn(known []string) {
+	select {
+	case s.queue <- func(l *loop) { l.learn(known) }:
+	default:
+		s.scope.Counter("hellos_dropped").Inc(1)
+	}
+}
+
 // wait returns when the server has to stop.
 func (s *Server) wait(ctx context.Context, served <-chan error) error {
 	select {
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -96,13 +96,17 @@
 	default:
 		s.server.scope.Counter("exchanges_dropped").Inc(1)
 	}
-	return &messenger.ExchangeReply{}, nil
+	reply := &messenger.ExchangeReply{}
+	if len(r.GetMessages()) == 0 {
+		if known := s.server.known.Load(); known != nil {
+			reply.Known = *known
+		}
+	}
+	return reply, nil
 }
 
 func (l *loop) exchange(r *messenger.ExchangeRequest) {
-	if _, ok := l.settings.host(r.GetFrom()); ok && r.GetFrom() != l.settings.Name {
-		l.hellos[r.GetFrom()] = hello{id: r.GetFromIncarnation(), at: l.now()}
-	}
+	l.noteHello(r)
 	for _, w := range r.GetMessages() {
 		if r.GetToIncarnation() != l.status.ID {
 			l.scope.Counter("messages_refused").Inc(1)
@@ -337,3 +341,23 @@
 func (l *loop) suspects() *messenger.SuspectReply {
 	return &messenger.SuspectReply{Granted: true, Quarantine: l.keeper.Quarantine(), Suspects: l.keeper.Suspects()}
 }
+
+// Publish stores a routing document.
+func (s *service) Publish(ctx context.Context, r *messenger.PublishRequest) (*messenger.PublishReply, error) {
+	return ask(ctx, s.server, func(l *loop, done func(*messenger.PublishReply, error)) { l.publish(r, done) })
+}
+
+// Read returns the routing document in force.
+func (s *service) Read(ctx context.Context, _ *messenger.ReadRequest) (*messenger.ReadReply, error) {
+	return ask(ctx, s.server, func(l *loop, done func(*messenger.ReadReply, error)) { l.readRouting(done) })
+}
+
+// Register takes a check-in of a backend server.
+func (s *service) Register(ctx context.Context, r *messenger.RegisterRequest) (*messenger.RegisterReply, error) {
+	return ask(ctx, s.server, func(l *loop, done func(*messenger.RegisterReply, error)) { l.register(r, done) })
+}
+
+// Watch brings an entry host up to date.
+func (s *service) Watch(ctx context.Context, r *messenger.WatchRequest) (*messenger.WatchReply, error) {
+	return ask(ctx, s.server, func(l *loop, done func(*messenger.WatchReply, error)) { l.watch(r, done) })
+}
--- a/internal/control/server/settings.go
+++ b/internal/control/server/settings.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
@@ -23,6 +24,14 @@
 // keeps a restart after hundreds of changes within milliseconds.
 const defaultSnapshotEvery = 1000
 
+const (
+	// defaultVoters outlives the loss of one host.
+	defaultVoters = 3
+	// defaultSilence is five check-ins of the usual interval of 1.2 s; single
+	// check-ins may be seconds late.
+	defaultSilence = 6 * time.Second
+)
+
 // ErrSettings reports settings that cannot be used.
 var ErrSettings = errors.New("invalid control settings")
 
@@ -34,8 +43,20 @@
 	Inner netip.AddrPort
 	// Data is the folder of the durable state.
 	Data string
-	// Hosts are all control hosts, this one included.
+	// Hosts are all control hosts, this one included. Without them the group
+	// is open: hosts find each other through Seeds and through the members.
 	Hosts []repairer.Host
+	// Seeds are the inner addresses of control hosts of an open group. The host
+	// at an address is named after its IP address.
+	Seeds []netip.AddrPort
+	// Bootstrap is true only at the very first start of an open group. The seeds
+	// are then its first voters.
+	Bootstrap bool
+	// Voters is the number of voters that an open group is kept at; 0 is 3.
+	Voters int
+	// Silence is how long a backend server may go without a check-in before the
+	// registry calls it silent; 0 is 6 s.
+	Silence time.Duration
 	// SnapshotEvery is the least number of applied entries between snapshots;
 	// 0 is 1,000. Snapshots of more than 1 MB are made less often.
 	SnapshotEvery uint64
@@ -69,7 +90,14 @@
 		fail(seen[h.Name], "host %q is listed twice", h.Name)
 		seen[h.Name] = true
 	}
-	fail(!seen[s.Name], "host %q is not among the control hosts", s.Name)
+	if s.open() {
+		fail(len(s.Seeds) == 0, "there are neither hosts nor seeds")
+		fail(s.Name != "" && s.Name != s.Inner.Addr().String(), "host %q of an open group is not named after its address %s", s.Name, s.Inner.Addr())
+	} else {
+		fail(!seen[s.Name], "host %q is not among the control hosts", s.Name)
+	}
+	s.Voters = cmp.Or(s.Voters, defaultVoters)
+	s.Silence = cmp.Or(s.Silence, defaultSilence)
 	if s.disk == nil {
 		s.disk = journaler.System{}
 	}
@@ -77,6 +105,9 @@
 	return errors.Join(errs...)
 }
 
+// open reports whether hosts are found instead of listed.
+func (s *Settings) open() bool { return len(s.Hosts) == 0 }
+
 // host returns the configured host of a name.
 func (s *Settings) host(name string) (repairer.Host, bool) {
 	for _, h := range s.Hosts {
--- a/internal/control/server/store.go
+++ b/internal/control/server/store.go
@@ -73,6 +73,11 @@
 // few milliseconds only.
 const smallSnapshot = 1 << 20
 
+// longLog is the size in bytes of entries since the last snapshot from which
+// another one is due whatever their number. It keeps a disk of 128 MB from
+// filling up with large documents.
+const longLog = 8 << 20
+
 // snapshotMark is where the last snapshot was made.
 type snapshotMark struct {
 	index uint64
@@ -86,5 +91,8 @@
 // snapshot of a full order ledger takes the loop a quarter of a second, so a
 // large one waits until the log has grown as much as the snapshot holds.
 func (m snapshotMark) due(applied, every uint64) bool {
+	if m.grown >= longLog && m.grown >= 2*m.size {
+		return true
+	}
 	return applied >= m.index+every && (m.size <= smallSnapshot || m.grown >= m.size)
 }
--- /dev/null
+++ b/internal/control/server/watch.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"time"
+
+	"gentianpond/internal/protocol/messenger"
+)
+
+const (
+	// watchLimit is the longest time that a watch is held.
+	watchLimit = 2 * time.Second
+	// watchMemory is how long an entry host counts after its last watch. It
+	// covers a held watch and the way back.
+	watchMemory = watchLimit + 2*time.Second
+	// watchPause is the least time between two looks for news, so that changes
+	// that come together travel together.
+	watchPause = 40 * time.Millisecond
+)
+
+// watcher is a watch that is held.
+type watcher struct {
+	request *messenger.WatchRequest
+	until   time.Duration
+	done    func(*messenger.WatchReply, error)
+}
+
+// audience is the leader's memory of the entry hosts that watch.
+type audience struct {
+	since time.Duration
+	hosts map[string]time.Duration
+}
+
+func newAudience(now time.Duration) *audience {
+	return &audience{since: now, hosts: map[string]time.Duration{}}
+}
+
+func (a *audience) note(now time.Duration, host string) { a.hosts[host] = now }
+
+// count returns the number of entry hosts, or 0 while this host has led for too
+// short a time to know them all.
+func (a *audience) count(now time.Duration) uint32 {
+	for name, at := range a.hosts {
+		if now-at > watchMemory {
+			delete(a.hosts, name)
+		}
+	}
+	if now-a.since < watchMemory {
+		return 0
+	}
+	return uint32(len(a.hosts))
+}
+
+// watch holds a request until there is news for it.
+func (l *loop) watch(r *messenger.WatchRequest, done func(*messenger.WatchReply, error)) {
+	if !l.leads() {
+		done(&messenger.WatchReply{Leader: l.leader()}, nil)
+		return
+	}
+	now := l.now()
+	l.audience.note(now, r.GetHost())
+	wait := min(r.GetWait().AsDuration(), watchLimit)
+	l.watchers = append(l.watchers, watcher{request: r, until: now + wait, done: done})
+}
+
+// answerWatchers answers the watches that have news or have waited long enough.
+// They need no read confirmation: what they get is committed, and an entry host
+// that follows a host which was the leader learns of a newer one within an
+// election timeout.
+func (l *loop) answerWatchers(now time.Duration) {
+	if len(l.watchers) == 0 || now < l.watchAt {
+		return
+	}
+	l.watchAt = now + watchPause
+	leads := l.leads()
+	kept := l.watchers[:0]
+	for _, w := range l.watchers {
+		switch {
+		case !leads:
+			w.done(&messenger.WatchReply{Leader: l.leader()}, nil)
+		case l.news(w.request) || now >= w.until:
+			w.done(l.watchReply(now, w.request), nil)
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(l.watchers[len(kept):])
+	l.watchers = kept
+}
+
+// news reports whether the host lacks anything.
+func (l *loop) news(r *messenger.WatchRequest) bool {
+	version, _ := l.keeper.Routing()
+	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().Last() || r.GetQuarantine() < l.keeper.Quarantine()
+}
+
+func (l *loop) watchReply(now time.Duration, r *messenger.WatchRequest) *messenger.WatchReply {
+	version, text := l.keeper.Routing()
+	reply := &messenger.WatchReply{
+		Granted:  true,
+		Version:  version,
+		Registry: l.keeper.Registry().Last(),
+		Hosts:    l.audience.count(now),
+		Control:  addresses(l.status),
+	}
+	if r.GetVersion() < version {
+		reply.Text = text
+	}
+	if r.GetRegistry() < reply.Registry {
+		list, complete := l.keeper.Registry().Since(r.GetRegistry())
+		reply.Complete = complete
+		for _, s := range list {
+			reply.Registrations = append(reply.Registrations, s.Message())
+		}
+	}
+	reply.Quarantine = l.keeper.Quarantine()
+	if r.GetQuarantine() < reply.Quarantine {
+		reply.Suspects = l.keeper.Suspects()
+	}
+	return reply
+}
--- a/internal/control/subscriber/locator.go
+++ b/internal/control/subscriber/locator.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// count returns the number of addresses to ask.
+func (l *locator) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.addresses)
+}
+
 func (l *locator) avoided(addr netip.AddrPort) bool {
 	return time.Now().Before(l.silent[addr])
 }
@@ -125,6 +132,40 @@
 	return true
 }
 
+// learn replaces the addresses: members found at control first, then the seeds.
+// Connections to others stay until they fail.
+func (l *locator) learn(seeds, control []netip.AddrPort) {
+	list := slices.Clone(control)
+	for _, a := range seeds {
+		if !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(list) == 0 || slices.Equal(list, l.addresses) {
+		return
+	}
+	l.addresses = list
+	l.next %= len(list)
+	if !l.current.IsValid() {
+		l.rotate()
+	}
+}
+
+// drop closes the connection to a host that gave no answer: a connection can go
+// silent for good while new ones work.
+func (l *locator) drop(addr netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.peers[addr]; ok {
+		delete(l.peers, addr)
+		if p.closer != nil {
+			_ = p.closer.Close()
+		}
+	}
+}
+
 func (l *locator) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -175,7 +216,7 @@
 			l.failed(addr)
 		}
 		redirects = 0
-		if !wait(ctx, pause.next(len(l.addresses))) {
+		if !wait(ctx, pause.next(l.count())) {
 			var none A
 			return none, errors.Wrap(ErrUnavailable, err.Error())
 		}
@@ -196,6 +237,7 @@
 	// which says nothing about the host.
 	if err != nil && ctx.Err() == nil && limited.Err() != nil && time.Since(sent) < 2*tryTimeout {
 		l.avoid(addr)
+		l.drop(addr)
 	}
 	return addr, reply, err
 }
--- /dev/null
+++ b/internal/route/relayer/attempt.go
@@ -0,0 +1,102 @@
+package relayer
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/search/caller"
+	"gentianpond/internal/search/selector"
+)
+
+// result is what became of one send.
+type result struct {
+	shard    int
+	server   *server
+	status   caller.Status
+	response *connector.Response
+	note     Note
+	latency  time.Duration
+	err      error
+}
+
+// send sends the request of a query to a server once.
+func (q *query) send(ctx context.Context, shard int, s *server) {
+	start := time.Now()
+	header := make(http.Header, len(q.request.Header)+4)
+	maps.Copy(header, q.request.Header)
+	q.relayer.config.Codec.Encode(header, q.id, q.limit.Sub(start), s.Name)
+	response, err := s.pool.Do(ctx, &connector.Request{
+		Method: q.request.Method, Target: q.request.Target, Host: q.request.Host, Header: header, Body: q.request.Body,
+	})
+	r := result{shard: shard, server: s, response: response, err: err, latency: time.Since(start)}
+	if err == nil {
+		r.note = q.relayer.config.Codec.Decode(response.Status, response.Header)
+	}
+	r.status = classify(ctx, q.id, r)
+	q.relayer.observe(q, r)
+	// There is room for every send of the query.
+	q.results <- r
+}
+
+// classify says what an answer or an error means.
+func classify(ctx context.Context, id string, r result) caller.Status {
+	switch {
+	case errors.Is(r.err, connector.ErrUnsent) && ctx.Err() != nil:
+		return caller.Refused
+	case errors.Is(r.err, connector.ErrUnsent):
+		return caller.Unsent
+	case r.err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return caller.TimedOut
+	case r.err != nil && ctx.Err() != nil:
+		return caller.Cancelled
+	case r.err != nil:
+		return caller.Broken
+	case r.note.ID != id:
+		return caller.Crossed
+	case r.note.Misdirected:
+		return caller.Missing
+	case r.note.Refused:
+		return caller.Shed
+	case r.response.Status >= http.StatusInternalServerError:
+		return caller.Failed
+	}
+	return caller.Answered
+}
+
+// observe tells the selector and the latencies of the route how a send ended.
+func (r *Relayer) observe(q *query, res result) {
+	now := time.Now()
+	if res.status == caller.Missing {
+		res.server.misdirected.Store(true)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := selectorStatus(res.status)
+	r.selector.Finished(now, res.server.Name, res.server.Incarnation, status, res.latency)
+	if l := res.note.Load; l.Known {
+		r.selector.Observed(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
+	}
+	switch res.status {
+	case caller.Answered, caller.Cancelled, caller.TimedOut:
+		r.hedger(q.route).Observe(now, res.latency)
+	}
+}
+
+func selectorStatus(s caller.Status) selector.Status {
+	switch s {
+	case caller.Answered:
+		return selector.Completed
+	case caller.Shed:
+		return selector.Shed
+	case caller.TimedOut:
+		return selector.TimedOut
+	case caller.Cancelled, caller.Refused:
+		return selector.Cancelled
+	}
+	return selector.Failed
+}
--- /dev/null
+++ b/internal/route/relayer/query.go
@@ -0,0 +1,409 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/route/gatherer"
+	"gentianpond/internal/route/ranker"
+	"gentianpond/internal/route/router"
+	"gentianpond/internal/search/caller"
+)
+
+const (
+	// limitMargin is how long before its time limit a request gets its final
+	// answer.
+	limitMargin = 30 * time.Millisecond
+	// maxSends bounds the sends to one shard, those included that servers
+	// refused and that did not leave this host.
+	maxSends = 6
+	// retryLeast is the least time that a client is told to stay away.
+	retryLeast = 100 * time.Millisecond
+)
+
+// Request is a client's request.
+type Request struct {
+	// ID is the client's name for this attempt.
+	ID     string
+	Method string
+	// Target is the path and query as the client sent them, Path the path alone.
+	Target string
+	Path   string
+	// Host is without a port, HostHeader as the client sent it.
+	Host       string
+	HostHeader string
+	Header     http.Header
+	Body       []byte
+	// Received is when the request was read, Deadline when the client stops
+	// waiting.
+	Received time.Time
+	Deadline time.Time
+}
+
+// query is the state of one request. Only run's goroutine uses it; the
+// goroutines that wait for servers write to results.
+type query struct {
+	relayer *Relayer
+	request *connector.Request
+	id      string
+	route   *router.Route
+	fleet   *fleet
+	plan    gatherer.Plan
+	limit   time.Time
+	shards  []shard
+	parts   int
+	results chan result
+	hedges  int
+	retries int
+}
+
+// shard is the state of one shard; a request to one server has one.
+type shard struct {
+	service string
+	tried   []string
+	// sends counts the sends that servers may have run, attempts all sends.
+	sends    int
+	attempts int
+	flying   int
+	// sent is when the newest send left.
+	sent   time.Time
+	hedged bool
+	part   *result
+	// failure is the last answer of a server that failed to serve the request.
+	failure *connector.Response
+	// closed is set when nothing more can be sent.
+	closed bool
+}
+
+func (s *shard) open() bool { return s.part == nil && (s.flying > 0 || !s.closed) }
+
+// Do carries a request and returns its final answer. It ends early when ctx
+// does, because the client left.
+func (r *Relayer) Do(ctx context.Context, request Request) Answer {
+	f := r.fleet.Load()
+	if f.table == nil {
+		return Answer{Reason: NotReady, Retry: retryLeast}
+	}
+	route, ok := f.table.Match(request.Host, request.Path)
+	if !ok {
+		return Answer{Reason: NoRoute}
+	}
+	limit := request.Received.Add(route.Timeout)
+	if !request.Deadline.IsZero() && request.Deadline.Before(limit) {
+		limit = request.Deadline
+	}
+	limit = limit.Add(-limitMargin)
+	if !time.Now().Before(limit) {
+		return Answer{Reason: Expired, Retry: retryLeast}
+	}
+	q := r.newQuery(f, route, &request, limit)
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	answer := q.run(ctx)
+	r.report(q, &request, answer)
+	return answer
+}
+
+func (r *Relayer) newQuery(f *fleet, route *router.Route, request *Request, limit time.Time) *query {
+	services := route.Shards
+	if !route.Fanout() {
+		services = []string{route.Pick()}
+	}
+	q := &query{
+		relayer: r,
+		request: &connector.Request{
+			Method: request.Method, Target: request.Target, Host: request.HostHeader, Header: request.Header, Body: request.Body,
+		},
+		id:      request.ID,
+		route:   route,
+		fleet:   f,
+		limit:   limit,
+		shards:  make([]shard, len(services)),
+		results: make(chan result, len(services)*maxSends),
+		plan: gatherer.Plan{
+			Start:     request.Received,
+			Aim:       request.Received.Add(route.Objective - r.config.Margin),
+			Limit:     limit,
+			Objective: route.Objective,
+			Shards:    len(services),
+			Need:      1,
+		},
+	}
+	if route.Fanout() {
+		q.plan.Need = route.Need()
+	}
+	for i, name := range services {
+		q.shards[i].service = name
+	}
+	return q
+}
+
+// cause says why a request is sent.
+type cause uint8
+
+const (
+	first cause = iota
+	hedge
+	retry
+	// reroute replaces a send that did not reach a server.
+	reroute
+)
+
+func (q *query) run(ctx context.Context) Answer {
+	for i := range q.shards {
+		q.launch(ctx, i, first)
+	}
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		q.hedge(ctx, now)
+		verdict, until := q.plan.Decide(now, q.parts, q.open())
+		switch verdict {
+		case gatherer.Reply:
+			return q.reply()
+		case gatherer.Fail:
+			return q.fail(ctx)
+		}
+		timer.Reset(time.Until(q.wake(until)))
+		select {
+		case res := <-q.results:
+			q.handle(ctx, res)
+		case <-timer.C:
+		case <-ctx.Done():
+			if context.Cause(ctx) != context.DeadlineExceeded {
+				return Answer{Reason: Left}
+			}
+		}
+	}
+}
+
+// open returns the number of shards of which a part may still come.
+func (q *query) open() int {
+	n := 0
+	for i := range q.shards {
+		if q.shards[i].open() {
+			n++
+		}
+	}
+	return n
+}
+
+// wake returns the time of the next hedge, or until if that is earlier.
+func (q *query) wake(until time.Time) time.Time {
+	delay := q.hedgeDelay()
+	for i := range q.shards {
+		s := &q.shards[i]
+		if !q.hedgeable(s) {
+			continue
+		}
+		if at := s.sent.Add(delay); at.Before(until) {
+			until = at
+		}
+	}
+	return until
+}
+
+// hedgeable reports whether a shard may get a hedge once it is late.
+func (q *query) hedgeable(s *shard) bool {
+	return q.route.Kind == router.Safe && s.part == nil && s.flying == 1 && !s.hedged && s.sends < q.route.Attempts
+}
+
+func (q *query) hedgeDelay() time.Duration {
+	r := q.relayer
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hedger(q.route).Delay(time.Now())
+}
+
+// hedge sends another request for each shard that is late.
+func (q *query) hedge(ctx context.Context, now time.Time) {
+	delay := q.hedgeDelay()
+	for i := range q.shards {
+		s := &q.shards[i]
+		if q.hedgeable(s) && now.Sub(s.sent) >= delay {
+			s.hedged = true
+			q.launch(ctx, i, hedge)
+		}
+	}
+}
+
+// launch chooses a server and sends the request to it. Without a server or a
+// budget the shard is closed, unless this is a hedge.
+func (q *query) launch(ctx context.Context, i int, why cause) {
+	s := &q.shards[i]
+	target := q.choose(s, why)
+	if target == nil {
+		s.closed = s.closed || why != hedge
+		return
+	}
+	s.tried = append(s.tried, target.Name)
+	s.sends++
+	s.attempts++
+	s.flying++
+	s.sent = time.Now()
+	switch why {
+	case hedge:
+		q.hedges++
+	case retry:
+		q.retries++
+	}
+	go q.send(ctx, i, target)
+}
+
+// choose picks a server and takes the budget for it.
+func (q *query) choose(s *shard, why cause) *server {
+	r := q.relayer
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget := r.budget(s.service)
+	if why == first {
+		budget.Earn()
+	}
+	target := r.pick(q.fleet, s.service, s.tried, why)
+	if target == nil {
+		return nil
+	}
+	switch why {
+	case hedge:
+		// Failures have to find a budget too.
+		if !budget.TakeAbove(r.burst() / 3) {
+			return nil
+		}
+	case retry:
+		if !budget.Take() {
+			return nil
+		}
+	}
+	r.selector.Started(target.Name, target.Incarnation)
+	return target
+}
+
+// pick returns the best server of a service that was not tried. The lock is
+// held.
+func (r *Relayer) pick(f *fleet, service string, tried []string, why cause) *server {
+	m := f.services[service]
+	now := time.Now()
+	for _, names := range [][]string{m.ready, m.silent} {
+		excluded := tried
+		for {
+			name, ok := r.selector.Choose(now, r.rand, names, excluded)
+			if !ok {
+				break
+			}
+			if s := f.servers[name]; !s.misdirected.Load() {
+				return s
+			}
+			excluded = append(slices.Clone(excluded), name)
+		}
+	}
+	return nil
+}
+
+// handle takes the end of one send.
+func (q *query) handle(ctx context.Context, res result) {
+	s := &q.shards[res.shard]
+	s.flying--
+	if s.part != nil {
+		return
+	}
+	switch res.status {
+	case caller.Answered:
+		if q.route.Fanout() && !q.isPart(res) {
+			q.again(ctx, res, retry)
+			return
+		}
+		s.part = &res
+		q.parts++
+	case caller.Shed, caller.Missing:
+		// The server did not run the request, but it was bothered with it.
+		s.sends--
+		q.again(ctx, res, retry)
+	case caller.Unsent:
+		s.sends--
+		q.again(ctx, res, reroute)
+	default:
+		if res.status == caller.Failed {
+			s.failure = res.response
+		}
+		if q.route.Kind != router.Safe {
+			s.closed = true
+			return
+		}
+		q.again(ctx, res, retry)
+	}
+}
+
+// isPart reports whether an answer can be a part of a fan-out.
+func (q *query) isPart(res result) bool {
+	return res.response.Status >= 200 && res.response.Status < 300 && res.note.Stamp != ""
+}
+
+// again sends another request for a shard whose send failed, unless another one
+// is under way.
+func (q *query) again(ctx context.Context, res result, why cause) {
+	s := &q.shards[res.shard]
+	q.relayer.reportFailure(q, res)
+	if s.flying > 0 {
+		return
+	}
+	if s.sends >= q.route.Attempts || s.attempts >= maxSends || ctx.Err() != nil {
+		s.closed = true
+		return
+	}
+	q.launch(ctx, res.shard, why)
+}
+
+// reply returns the parts in hand.
+func (q *query) reply() Answer {
+	if !q.route.Fanout() {
+		res := q.shards[0].part.response
+		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
+	}
+	a := Answer{Status: http.StatusOK}
+	var bodies [][]byte
+	for i := range q.shards {
+		part := q.shards[i].part
+		if part == nil {
+			a.Missing++
+			continue
+		}
+		a.Stamps = append(a.Stamps, part.note.Stamp)
+		bodies = append(bodies, part.response.Body)
+	}
+	a.Body = ranker.Greatest(bodies, q.route.Top)
+	return a
+}
+
+// fail returns why there is no answer.
+func (q *query) fail(ctx context.Context) Answer {
+	ran, tried := false, false
+	for i := range q.shards {
+		s := &q.shards[i]
+		ran = ran || s.sends > 0
+		tried = tried || s.attempts > 0
+	}
+	if !q.route.Fanout() && q.shards[0].failure != nil {
+		res := q.shards[0].failure
+		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
+	}
+	switch {
+	case ran && (ctx.Err() != nil || !time.Now().Before(q.limit)):
+		return Answer{Reason: TimedOut}
+	case ran:
+		return Answer{Reason: Broken}
+	case tried:
+		return Answer{Reason: Shed, Retry: q.relayer.retryAfter()}
+	}
+	return Answer{Reason: NoServer, Retry: q.relayer.retryAfter()}
+}
+
+// retryAfter spreads the return of refused clients.
+func (r *Relayer) retryAfter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return retryLeast + time.Duration(r.rand.Int64N(int64(2*retryLeast)))
+}
--- /dev/null
+++ b/internal/route/relayer/relayer.go
@@ -0,0 +1,278 @@
+// Package relayer carries requests of a routing table to backend servers: to one
+// server of a service, or to one server of each shard of a fan-out.
+//
+// Every host chooses servers by itself, from the registry, from what it sees and
+// from the load that servers report. Extra sends (hedges and retries) draw on a
+// budget per service, of which each host has its share.
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/route/router"
+	"gentianpond/internal/search/hedger"
+	"gentianpond/internal/search/selector"
+)
+
+const (
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = time.Second
+	// hedgeQuantile is the share of sends to a route that are answered before a
+	// hedge is sent. One in ten fits into a retry budget of 0.2 and leaves half
+	// of it to retries.
+	hedgeQuantile = 0.9
+	// hedgeInitial is the hedge delay before enough answers were seen.
+	hedgeInitial = 60 * time.Millisecond
+	// budgetShare is the part of the fleet's budget that the hosts share out; the
+	// rest covers hosts that join before the others know.
+	budgetShare = 0.85
+	// hostsUnknown is the number of hosts assumed until control has counted them.
+	hostsUnknown = 64
+	// connectionShare is the part of a server's connections that the hosts share
+	// out; the rest covers hosts that join and connections being closed.
+	connectionShare = 0.85
+)
+
+// Codec speaks the backend servers' protocol.
+type Codec interface {
+	// Encode adds to the header what tells a server about a send: the client's
+	// request id, the time left and the server that is meant.
+	Encode(h http.Header, id string, left time.Duration, server string)
+	// Decode reads what a server says about its answer.
+	Decode(status int, h http.Header) Note
+}
+
+// Note is what a backend server says about its answer.
+type Note struct {
+	// ID is the id of the request that the answer belongs to.
+	ID string
+	// Stamp is the signature of the answer, empty if there is none.
+	Stamp string
+	// Refused means that the server did not run the request.
+	Refused bool
+	// Misdirected means that another server than the one meant has the address.
+	Misdirected bool
+	// Load is the server's load, if it is told.
+	Load Load
+}
+
+// Load is the load of a server when it answered.
+type Load struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Budget bounds the extra sends to a service, summed over all hosts.
+type Budget struct {
+	// Ratio is the number of extra sends per request, Extra the number that is
+	// allowed besides.
+	Ratio float64
+	Extra int
+}
+
+// Config says how a relayer works.
+type Config struct {
+	Zone   string
+	Codec  Codec
+	Budget Budget
+	// Margin is how long before the objective an answer leaves this host: the
+	// time on the way from and to the client.
+	Margin time.Duration
+	Log    *log.Logger
+	Scope  tally.Scope
+}
+
+// Relayer carries requests. Use New. It is safe for concurrent use.
+type Relayer struct {
+	config Config
+	fleet  atomic.Pointer[fleet]
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	selector *selector.Selector
+	hedgers  map[string]*hedger.Hedger
+	budgets  map[string]*hedger.Bucket
+	hosts    int
+	rand     *rand.Rand
+}
+
+// New returns a relayer without a routing table.
+func New(c Config) *Relayer {
+	r := &Relayer{
+		config:   c,
+		selector: selector.New(c.Zone),
+		hedgers:  map[string]*hedger.Hedger{},
+		budgets:  map[string]*hedger.Bucket{},
+		hosts:    hostsUnknown,
+		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	r.fleet.Store(&fleet{servers: map[string]*server{}})
+	return r
+}
+
+// Table returns the routing table in force, or nil.
+func (r *Relayer) Table() *router.Table { return r.fleet.Load().table }
+
+// Update takes the routing table, the registry and the number of hosts, which
+// is 0 while it is unknown.
+func (r *Relayer) Update(ctx context.Context, table *router.Table, registry []registrar.Server, hosts int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if hosts > 0 {
+		r.hosts = hosts
+	}
+	old := r.fleet.Load()
+	next := newFleet(table)
+	for _, s := range registry {
+		r.adopt(ctx, old, next, s)
+	}
+	for name, s := range old.servers {
+		if _, ok := next.servers[name]; !ok {
+			s.pool.Close()
+			r.selector.Remove(name)
+		}
+	}
+	for _, b := range r.budgets {
+		b.Resize(r.burst())
+	}
+	r.fleet.Store(next)
+}
+
+// Run looks after idle connections until ctx ends.
+func (r *Relayer) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			for _, s := range r.fleet.Load().servers {
+				s.pool.Sweep(now)
+			}
+		}
+	}
+}
+
+// burst is this host's share of the extra sends that are allowed without
+// requests.
+func (r *Relayer) burst() int {
+	return max(1, int(budgetShare*float64(r.config.Budget.Extra)/float64(r.hosts)))
+}
+
+// budget returns the budget of a service. The lock is held.
+func (r *Relayer) budget(service string) *hedger.Bucket {
+	b, ok := r.budgets[service]
+	if !ok {
+		fresh := hedger.NewBucket(budgetShare*r.config.Budget.Ratio, r.burst())
+		b = &fresh
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// hedger returns the latencies of a route. The lock is held.
+func (r *Relayer) hedger(route *router.Route) *hedger.Hedger {
+	h, ok := r.hedgers[route.Name]
+	if !ok {
+		h = hedger.New(hedger.Config{Quantile: hedgeQuantile, Initial: min(hedgeInitial, route.Objective/2)})
+		r.hedgers[route.Name] = h
+	}
+	return h
+}
+
+// fleet is the routing table with the servers of each service. It does not
+// change once it is in use.
+type fleet struct {
+	table    *router.Table
+	servers  map[string]*server
+	services map[string]members
+}
+
+// members are the servers of a service: those to use, and those to use where
+// there is no other.
+type members struct {
+	ready  []string
+	silent []string
+}
+
+func newFleet(table *router.Table) *fleet {
+	return &fleet{table: table, servers: map[string]*server{}, services: map[string]members{}}
+}
+
+// server is one incarnation of one backend server.
+type server struct {
+	registrar.Server
+	pool *connector.Pool
+	// misdirected is set once another server was found at the address.
+	misdirected atomic.Bool
+}
+
+// adopt adds a server of the registry to the next fleet. The lock is held.
+func (r *Relayer) adopt(ctx context.Context, old, next *fleet, s registrar.Server) {
+	if s.State == registrar.Gone {
+		return
+	}
+	current, ok := old.servers[s.Name]
+	limit := r.connections(next.table, s.Service)
+	if ok && current.Incarnation == s.Incarnation && current.Address == s.Address {
+		current.pool.Resize(limit)
+		if current.State != s.State || current.Slots != s.Slots {
+			changed := &server{Server: s, pool: current.pool}
+			changed.misdirected.Store(current.misdirected.Load())
+			current = changed
+		}
+	} else {
+		if ok {
+			current.pool.Close()
+		}
+		current = &server{Server: s, pool: connector.New(s.Address, limit)}
+		r.selector.Update(r.described(s))
+		if s.Zone == r.config.Zone && s.State == registrar.Ready {
+			go current.pool.Warm(ctx)
+		}
+	}
+	next.servers[s.Name] = current
+	m := next.services[s.Service]
+	switch s.State {
+	case registrar.Ready:
+		m.ready = append(m.ready, s.Name)
+	case registrar.Silent:
+		m.silent = append(m.silent, s.Name)
+	}
+	next.services[s.Service] = m
+}
+
+// described returns what the selector needs to know of a server. A cold server
+// is warm once the time that it announced is over.
+func (r *Relayer) described(s registrar.Server) selector.Server {
+	d := selector.Server{Name: s.Name, Zone: s.Zone, Incarnation: s.Incarnation, Slots: s.Slots}
+	if s.Cold > 0 {
+		d.Started = selector.WarmAt(time.Now().Add(s.Cold))
+	}
+	return d
+}
+
+// connections is this host's share of the connections that a server takes.
+func (r *Relayer) connections(table *router.Table, service string) int {
+	if table == nil {
+		return 1
+	}
+	s, ok := table.Service(service)
+	if !ok || s.Connections <= 0 {
+		return 1
+	}
+	return max(1, int(connectionShare*float64(s.Connections)/float64(r.hosts)))
+}
--- /dev/null
+++ b/internal/route/relayer/report.go
@@ -0,0 +1,48 @@
+package relayer
+
+import (
+	"time"
+
+	"gentianpond/internal/search/caller"
+)
+
+// sampleEvery is how many plainly served requests there are to one log line.
+const sampleEvery = 100
+
+// report logs and counts the end of a request. Plain successes are sampled.
+func (r *Relayer) report(q *query, request *Request, a Answer) {
+	took := time.Since(request.Received)
+	tags := map[string]string{"reason": a.Reason.String()}
+	r.config.Scope.Tagged(tags).Counter("requests").Inc(1)
+	r.config.Scope.Timer("request").Record(took)
+	late := took > q.route.Objective
+	if a.Reason == Served && !late && a.Missing == 0 && a.Status < 500 {
+		if r.sampled() {
+			r.config.Log.Info("served", "request", q.id, "route", q.route.Name, "took", took, "hedges", q.hedges, "retries", q.retries)
+		}
+		return
+	}
+	r.config.Log.Warn("request not served plainly", "request", q.id, "route", q.route.Name, "reason", a.Reason, "status", a.Status,
+		"took", took, "objective", q.route.Objective, "late", late, "missing", a.Missing, "shards", len(q.shards),
+		"hedges", q.hedges, "retries", q.retries, "table", q.fleet.table.Version)
+}
+
+func (r *Relayer) sampled() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rand.IntN(sampleEvery) == 0
+}
+
+// reportFailure logs a send that brought no part.
+func (r *Relayer) reportFailure(q *query, res result) {
+	r.config.Scope.Tagged(map[string]string{"status": res.status.String()}).Counter("failed_sends").Inc(1)
+	if res.status == caller.Cancelled || res.status == caller.Refused {
+		return
+	}
+	status := 0
+	if res.response != nil {
+		status = res.response.Status
+	}
+	r.config.Log.Info("send failed", "request", q.id, "route", q.route.Name, "service", res.server.Service, "server", res.server.Name,
+		"outcome", res.status, "status", status, "took", res.latency, "err", res.err)
+}
--- a/internal/search/hedger/bucket.go
+++ b/internal/search/hedger/bucket.go
@@ -6,31 +6,45 @@
 // budget exact over any number of attempts; floating-point sums would drift.
 const tokenUnit = 1_000_000
 
-// bucket is a token bucket filled by events instead of time.
-type bucket struct {
+// Bucket is a token bucket filled by events instead of time. With F events
+// between two points in time, at most ratio*F + burst tokens are taken between
+// them. The zero value never has a token. It is not safe for concurrent use.
+type Bucket struct {
 	tokens int64
 	limit  int64
 	income int64
 }
 
-// newBucket returns an empty bucket. The income is rounded down, so that it
+// NewBucket returns an empty bucket. The income is rounded down, so that it
 // never exceeds the ratio.
-func newBucket(ratio float64, burst int) bucket {
+func NewBucket(ratio float64, burst int) Bucket {
 	if ratio <= 0 {
-		return bucket{}
+		return Bucket{}
 	}
 	// The margin keeps a ratio such as 0.29, whose product is just below a
 	// whole number, from losing a unit.
 	income := int64(math.Floor(ratio*tokenUnit + 1e-6))
-	return bucket{limit: int64(burst) * tokenUnit, income: income}
+	return Bucket{limit: int64(burst) * tokenUnit, income: income}
 }
 
-func (b *bucket) fill() { b.tokens = b.limit }
+// Fill puts in all tokens that there is room for.
+func (b *Bucket) Fill() { b.tokens = b.limit }
 
-func (b *bucket) earn() { b.tokens = min(b.tokens+b.income, b.limit) }
+// Earn adds the share of a token that one event brings.
+func (b *Bucket) Earn() { b.tokens = min(b.tokens+b.income, b.limit) }
 
-func (b *bucket) take() bool {
-	if b.tokens < tokenUnit {
+// Resize changes the most tokens that can be saved up.
+func (b *Bucket) Resize(burst int) {
+	b.limit = int64(burst) * tokenUnit
+	b.tokens = min(b.tokens, b.limit)
+}
+
+// Take takes a token and reports whether there was one.
+func (b *Bucket) Take() bool { return b.TakeAbove(0) }
+
+// TakeAbove takes a token if reserve tokens stay in the bucket afterwards.
+func (b *Bucket) TakeAbove(reserve int) bool {
+	if b.tokens < int64(1+reserve)*tokenUnit {
 		return false
 	}
 	b.tokens -= tokenUnit
--- a/internal/search/hedger/hedger.go
+++ b/internal/search/hedger/hedger.go
@@ -47,8 +47,8 @@
 type Hedger struct {
 	config Config
 	digest digest
-	hedges bucket
-	retry  bucket
+	hedges Bucket
+	retry  Bucket
 	// uncredited is the number of first attempts without a counted success. It
 	// keeps successes of hedges and retries from earning further retries.
 	uncredited uint64
@@ -59,16 +59,16 @@
 	c = c.withDefaults()
 	h := &Hedger{
 		config: c,
-		hedges: newBucket(c.Hedge, c.HedgeBurst),
-		retry:  newBucket(c.Retry, c.RetryBurst),
+		hedges: NewBucket(c.Hedge, c.HedgeBurst),
+		retry:  NewBucket(c.Retry, c.RetryBurst),
 	}
-	h.retry.fill()
+	h.retry.Fill()
 	return h
 }
 
 // FirstAttempt counts the first attempt of a sub-request.
 func (h *Hedger) FirstAttempt() {
-	h.hedges.earn()
+	h.hedges.Earn()
 	h.uncredited++
 }
 
@@ -79,16 +79,16 @@
 		return
 	}
 	h.uncredited--
-	h.retry.earn()
+	h.retry.Earn()
 }
 
 // AllowHedge takes one hedge from the budget and reports whether there was one.
 // Choose the replica first: a token is not returned.
-func (h *Hedger) AllowHedge() bool { return h.hedges.take() }
+func (h *Hedger) AllowHedge() bool { return h.hedges.Take() }
 
 // AllowRetry takes one retry from the budget and reports whether there was one.
 // Choose the replica first: a token is not returned.
-func (h *Hedger) AllowRetry() bool { return h.retry.take() }
+func (h *Hedger) AllowRetry() bool { return h.retry.Take() }
 
 // Observe adds the latency of one attempt to the digest. Call it for cancelled
 // attempts too, with the time that they ran: without the stragglers that lost
--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -227,3 +227,6 @@
 	}
 	return p
 }
+
+// WarmAt returns the start of a server that is warm at the given time.
+func WarmAt(at time.Time) time.Time { return at.Add(-rampLength) }
