--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -164,12 +164,17 @@
 	}
 	if res.ContentLength >= 0 {
 		body := make([]byte, res.ContentLength)
-		_, err := io.ReadFull(res.Body, body)
-		return body, errors.Wrap(err, "read answer")
+		if _, err := io.ReadFull(res.Body, body); err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
+		return body, nil
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
-	if err == nil && len(body) > maxAnswer {
-		err = errors.Errorf("answer is longer than %d bytes", maxAnswer)
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if len(body) > maxAnswer {
+		return nil, errors.Errorf("answer is longer than %d bytes", maxAnswer)
 	}
-	return body, errors.Wrap(err, "read answer")
+	return body, nil
 }
--- a/internal/control/server/form.go
+++ b/internal/control/server/form.go
@@ -145,5 +145,8 @@
 	for _, seed := range settings.Seeds {
 		voters = append(voters, replicator.Member{ID: founderID(seed), Name: seed.Addr().String(), Address: seed})
 	}
-	return errors.Wrap(writeState(journal, settings, voters...), "form")
+	if err := writeState(journal, settings, voters...); err != nil {
+		return errors.Wrap(err, "form")
+	}
+	return nil
 }
