Compute the time left at sending and finish requests in flight at a planned stop

Cause: a request that waited for a connection was sent with the time that was left before the wait; the end of the listener ended the process while a planned stop waited for requests in flight.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -99,6 +99,9 @@
 		}
 	}()
 	var written atomic.Bool
+	if r.Finish != nil {
+		r.Finish(r.Header)
+	}
 	data := encode(r)
 	if len(data) <= wholeWrite {
 		n, err := c.raw.Write(data)
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -64,6 +64,9 @@
 	Host   string
 	// Header holds all other headers but Content-Length.
 	Header http.Header
+	// Finish sets the headers that depend on the time of sending, such as the
+	// time left: a request may wait for a connection. It may be nil.
+	Finish func(http.Header)
 	Body   []byte
 }
 
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -62,8 +62,10 @@
 	listen   net.Listener
 	ready    net.Listener
 	draining atomic.Bool
-	ctx      atomic.Pointer[context.Context]
-	table    *router.Table
+	// drained is closed when a planned stop has finished what was in flight.
+	drained chan struct{}
+	ctx     atomic.Pointer[context.Context]
+	table   *router.Table
 }
 
 // New listens on the addresses of an entry host.
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, errors.Join(errors.Wrap(err, "listen for checks"), listen.Close())
 	}
-	f := &Forwarder{settings: s, dialect: d, log: logger, listen: listen, ready: ready}
+	f := &Forwarder{settings: s, dialect: d, log: logger, listen: listen, ready: ready, drained: make(chan struct{})}
 	f.relayer = relayer.New(relayer.Config{
 		Zone:   s.Zone,
 		Codec:  d.Codec,
@@ -115,10 +117,15 @@
 
 func (f *Forwarder) serve(s *http.Server, l net.Listener) error {
 	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return runner.ErrStopped
+	if !errors.Is(err, http.ErrServerClosed) {
+		return err
 	}
-	return err
+	// Serve returns when a planned stop begins to wait for requests in flight;
+	// the end of this part would end the process.
+	if f.draining.Load() {
+		<-f.drained
+	}
+	return runner.ErrStopped
 }
 
 // Seed replaces the seeds after a change of the settings.
@@ -157,6 +164,7 @@
 // until the balancer has noticed, and finishes what is in flight.
 func (f *Forwarder) Drain(ctx context.Context) {
 	f.draining.Store(true)
+	defer close(f.drained)
 	start := time.Now()
 	f.log.Info("stopping, waiting for the load balancer", "grace", f.settings.Grace)
 	select {
--- /dev/null
+++ b/internal/host/forwarder/forwarder_test.go
@@ -0,0 +1,76 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/host/runner"
+	"gentianpond/internal/route/relayer"
+	"gentianpond/internal/route/router"
+	"gentianpond/internal/settings/loader"
+)
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// TestPlannedStop guards against a process that ends while requests are in
+// flight: the listener's end once ended the whole process.
+func TestPlannedStop(t *testing.T) {
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s := loader.Relay{Name: "entry", Zone: "z", Listen: freeAddress(t), Ready: freeAddress(t), Seeds: []netip.AddrPort{freeAddress(t)}, Grace: 2 * time.Second}
+	f, err := New(s, Dialect{
+		Document: func([]byte) (*router.Table, error) { return nil, router.ErrInvalid },
+		Entry: func(*relayer.Relayer) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				close(begun)
+				<-finish
+				_, _ = io.WriteString(w, "whole")
+			})
+		},
+		Ready: func(func() bool) http.Handler { return http.NotFoundHandler() },
+	}, log.New(io.Discard), tally.NoopScope)
+	require.NoError(t, err)
+	var group runner.Group
+	f.Add(&group)
+	stop := make(chan struct{})
+	group.Add(func(ctx context.Context) error {
+		<-stop
+		f.Drain(ctx)
+		return runner.ErrStopped
+	})
+	done := make(chan error, 1)
+	go func() { done <- group.Run() }()
+
+	answer := make(chan string, 1)
+	go func() {
+		res, err := http.Get("http://" + s.Listen.String())
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		body, _ := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		answer <- string(body)
+	}()
+	<-begun
+	close(stop)
+	require.Eventually(t, func() bool { return !f.Ready() }, time.Second, time.Millisecond)
+	// The listener closes after the wait for the balancer.
+	time.Sleep(time.Second)
+	close(finish)
+	require.Equal(t, "whole", <-answer)
+	require.NoError(t, <-done)
+}
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -29,10 +29,12 @@
 	start := time.Now()
 	header := make(http.Header, len(q.request.Header)+4)
 	maps.Copy(header, q.request.Header)
-	q.relayer.config.Codec.Encode(header, q.id, q.limit.Sub(start), s.Name)
-	response, err := s.pool.Do(ctx, &connector.Request{
-		Method: q.request.Method, Target: q.request.Target, Host: q.request.Host, Header: header, Body: q.request.Body,
-	})
+	request := *q.request
+	request.Header = header
+	request.Finish = func(h http.Header) {
+		q.relayer.config.Codec.Encode(h, q.id, time.Until(q.limit), s.Name)
+	}
+	response, err := s.pool.Do(ctx, &request)
 	r := result{shard: shard, server: s, response: response, err: err, latency: time.Since(start)}
 	if err == nil {
 		r.note = q.relayer.config.Codec.Decode(response.Status, response.Header)
