Find the control leader by asking several hosts at once

Cause: after a loss of power of all hosts, entry hosts waited up to 2 s for hosts that had not answered, and clients came back before there was a routing table. Change: a watcher without a leader asks up to five hosts at once for 250 ms, the election timeout of open groups is 300 ms, Retry-After of a host that has just started is 800 ms.

--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -127,7 +127,7 @@
 			return nil, err
 		}
 	}
-	l.core, err = replicator.New(coreConfig(state, snapshot))
+	l.core, err = replicator.New(coreConfig(settings, state, snapshot))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -25,6 +25,12 @@
 	drainLimit = time.Second
 	// proposalLimit is the largest proposal in bytes. A section may have 1 MB.
 	proposalLimit = 2 << 20
+	// openElection and openHeartbeat are the times of the log core in open
+	// groups, whose entry hosts have no other source of their state when all
+	// hosts start at once. A sync on a disk that is 30 times slower than usual
+	// stays below a third of the election timeout.
+	openElection  = 300 * time.Millisecond
+	openHeartbeat = 75 * time.Millisecond
 )
 
 // Server is one control host. Use New.
@@ -93,8 +99,8 @@
 }
 
 // coreConfig returns the log core's configuration for a loaded state.
-func coreConfig(state journaler.State, snapshot replicator.Snapshot) replicator.Config {
-	return replicator.Config{
+func coreConfig(settings Settings, state journaler.State, snapshot replicator.Snapshot) replicator.Config {
+	config := replicator.Config{
 		ID:        state.Identity,
 		HardState: replicator.HardState(state.Hard),
 		Snapshot:  snapshot,
@@ -102,6 +108,11 @@
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), state.Identity)),
 		MaxBytes:  proposalLimit,
 	}
+	if settings.open() {
+		config.ElectionTimeout = openElection
+		config.Heartbeat = openHeartbeat
+	}
+	return config
 }
 
 // Run serves until ctx ends, which is no error. It returns an error when the
--- a/internal/control/subscriber/locator.go
+++ b/internal/control/subscriber/locator.go
@@ -61,13 +61,6 @@
 	}
 }
 
-// count returns the number of addresses to ask.
-func (l *locator) count() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.addresses)
-}
-
 func (l *locator) avoided(addr netip.AddrPort) bool {
 	return time.Now().Before(l.silent[addr])
 }
@@ -132,27 +125,6 @@
 	return true
 }
 
-// learn replaces the addresses: members found at control first, then the seeds.
-// Connections to others stay until they fail.
-func (l *locator) learn(seeds, control []netip.AddrPort) {
-	list := slices.Clone(control)
-	for _, a := range seeds {
-		if !slices.Contains(list, a) {
-			list = append(list, a)
-		}
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(list) == 0 || slices.Equal(list, l.addresses) {
-		return
-	}
-	l.addresses = list
-	l.next %= len(list)
-	if !l.current.IsValid() {
-		l.rotate()
-	}
-}
-
 // drop closes the connection to a host that gave no answer: a connection can go
 // silent for good while new ones work.
 func (l *locator) drop(addr netip.AddrPort) {
@@ -216,7 +188,7 @@
 			l.failed(addr)
 		}
 		redirects = 0
-		if !wait(ctx, pause.next(l.count())) {
+		if !wait(ctx, pause.next(len(l.addresses))) {
 			var none A
 			return none, errors.Wrap(ErrUnavailable, err.Error())
 		}
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -16,12 +17,23 @@
 	"gentianpond/internal/protocol/messenger"
 )
 
-// holdTime is how long a watch may be held. With the time for the way it stays
-// below tryTimeout, so that a lost leader is noticed within a second.
-const holdTime = 700 * time.Millisecond
-
-// watchPause is the least time between two watches.
-const watchPause = 20 * time.Millisecond
+const (
+	// holdTime is how long a watch may be held, and answerTime how long its
+	// answer may take besides. A lost leader is noticed after their sum.
+	holdTime   = 700 * time.Millisecond
+	answerTime = 300 * time.Millisecond
+	// findTime bounds the first question to a host. A host without power answers
+	// nothing, and a connection that was asked for before it started is not
+	// opened for a second, so that asking anew is quicker than waiting.
+	findTime = 250 * time.Millisecond
+	// findPause is the pause between two rounds of questions, half of it random:
+	// all entry hosts look for a new leader at the same time.
+	findPause = 60 * time.Millisecond
+	// findMost is the number of hosts that are asked at once.
+	findMost = 5
+	// watchPause is the least time between two watches.
+	watchPause = 20 * time.Millisecond
+)
 
 // Watched is what an entry host knows of the routing document and the registry.
 // It must not be modified.
@@ -55,12 +67,14 @@
 // Watcher keeps an entry host up to date without a lease: a host that is out of
 // touch goes on with what it knows. Use NewWatcher.
 type Watcher struct {
-	config  WatcherConfig
-	locator *locator
-	state   atomic.Pointer[Watched]
+	config WatcherConfig
+	state  atomic.Pointer[Watched]
+	// leader is the host that answered last, with the connection to it.
+	leader peer
 
-	mu    sync.Mutex
-	seeds []netip.AddrPort
+	mu      sync.Mutex
+	seeds   []netip.AddrPort
+	control []netip.AddrPort
 }
 
 // NewWatcher returns a watcher that has not connected yet.
@@ -68,7 +82,7 @@
 	if c.Connect == nil {
 		c.Connect = Connect()
 	}
-	w := &Watcher{config: c, locator: newLocator(c.Seeds, c.Connect), seeds: c.Seeds}
+	w := &Watcher{config: c, seeds: c.Seeds}
 	w.state.Store(&Watched{})
 	return w
 }
@@ -81,34 +95,121 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seeds = slices.Clone(seeds)
-	w.locator.learn(seeds, nil)
 }
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	defer w.locator.close()
+	defer w.drop()
 	for ctx.Err() == nil {
-		w.round(ctx)
+		if w.leader.client == nil && !w.find(ctx) {
+			wait(ctx, findPause/2+rand.N(findPause/2))
+			continue
+		}
+		w.follow(ctx)
 		wait(ctx, watchPause)
 	}
 	return ctx.Err()
 }
 
-func (w *Watcher) round(ctx context.Context) {
-	reply, err := ask(ctx, w.locator, func(ctx context.Context, c messenger.ControlClient) (*messenger.WatchReply, error) {
-		s := w.State()
-		return c.Watch(ctx, &messenger.WatchRequest{
-			Host:        w.config.Host,
-			Incarnation: w.config.Incarnation,
-			Version:     s.Version,
-			Registry:    s.registry,
-			Wait:        durationpb.New(holdTime),
-		})
-	}, (*messenger.WatchReply).GetGranted)
-	if err != nil {
+// drop forgets the leader.
+func (w *Watcher) drop() {
+	if w.leader.closer != nil {
+		_ = w.leader.closer.Close()
+	}
+	w.leader = peer{}
+}
+
+// follow asks the leader for news.
+func (w *Watcher) follow(ctx context.Context) {
+	reply, err := w.ask(ctx, w.leader.client, holdTime, holdTime+answerTime)
+	if err == nil && reply.GetGranted() {
+		w.adopt(reply, time.Now())
 		return
 	}
-	w.adopt(reply, time.Now())
+	if ctx.Err() == nil {
+		w.config.Log.Warn("lost the control leader", "table", w.State().Version, "err", err)
+	}
+	w.drop()
+}
+
+func (w *Watcher) ask(ctx context.Context, c messenger.ControlClient, hold, timeout time.Duration) (*messenger.WatchReply, error) {
+	s := w.State()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Watch(ctx, &messenger.WatchRequest{
+		Host:        w.config.Host,
+		Incarnation: w.config.Incarnation,
+		Version:     s.Version,
+		Registry:    s.registry,
+		Wait:        durationpb.New(hold),
+	})
+}
+
+// found is the answer of one host that may be the leader.
+type found struct {
+	peer  peer
+	reply *messenger.WatchReply
+}
+
+// find asks several hosts at once and follows the first that leads. It reports
+// whether there was one.
+func (w *Watcher) find(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, findTime)
+	defer cancel()
+	targets := w.targets()
+	answers := make(chan found, len(targets))
+	for _, a := range targets {
+		go func() { answers <- w.probe(ctx, a) }()
+	}
+	for range targets {
+		f := <-answers
+		if f.reply.GetGranted() && w.leader.client == nil {
+			w.leader = f.peer
+			w.config.Log.Info("found the control leader", "table", f.reply.GetVersion(), "registry", f.reply.GetRegistry())
+			w.adopt(f.reply, time.Now())
+			cancel()
+			continue
+		}
+		if f.peer.closer != nil {
+			_ = f.peer.closer.Close()
+		}
+	}
+	return w.leader.client != nil
+}
+
+// probe asks one host, and the leader that it names.
+func (w *Watcher) probe(ctx context.Context, addr netip.AddrPort) found {
+	for range maxRedirects {
+		client, closer, err := w.config.Connect(addr)
+		if err != nil {
+			return found{}
+		}
+		p := peer{client: client, closer: closer}
+		reply, err := w.ask(ctx, client, 0, findTime)
+		if err != nil || reply.GetGranted() {
+			return found{peer: p, reply: reply}
+		}
+		_ = closer.Close()
+		addr, err = netip.ParseAddrPort(reply.GetLeader())
+		if err != nil {
+			return found{}
+		}
+	}
+	return found{}
+}
+
+// targets returns some of the known control hosts in random order.
+func (w *Watcher) targets() []netip.AddrPort {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := slices.Clone(w.control)
+	for _, a := range w.seeds {
+		if !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), findMost)]
 }
 
 // adopt takes a reply. What is older than the state changes nothing: a host that
@@ -168,6 +269,7 @@
 	return list
 }
 
+// learn takes the control hosts that the leader names.
 func (w *Watcher) learn(texts []string) {
 	var control []netip.AddrPort
 	for _, text := range texts {
@@ -180,5 +282,5 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.locator.learn(w.seeds, control)
+	w.control = control
 }
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -22,6 +22,10 @@
 	maxSends = 6
 	// retryLeast is the least time that a client is told to stay away.
 	retryLeast = 100 * time.Millisecond
+	// startRetry is the time that a client is told to stay away from a host that
+	// has just started. When all hosts start at once, electing a leader and
+	// finding it takes about as long.
+	startRetry = 800 * time.Millisecond
 )
 
 // Request is a client's request.
@@ -85,7 +89,7 @@
 func (r *Relayer) Do(ctx context.Context, request Request) Answer {
 	f := r.fleet.Load()
 	if f.table == nil {
-		return Answer{Reason: NotReady, Retry: retryLeast}
+		return Answer{Reason: NotReady, Retry: startRetry}
 	}
 	route, ok := f.table.Match(request.Host, request.Path)
 	if !ok {
