Leave out congested shards and refuse at once what cannot be answered

Cause: a shard left with too few servers works through long queues and answers every request late, and its callers wait for it in vain. Change: a gate per service lowers the share that is sent while all its servers have requests waiting for every slot; a request with too few shards left is refused before it costs the others anything. A server that refuses work with free slots counts as failing.

--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -23,6 +23,8 @@
 	NoServer // no server
 	// Shed means that every server that was asked refused the request.
 	Shed // shed
+	// Overload means that the services are congested.
+	Overload // overload
 	// Expired means that the time limit passed before the request was sent.
 	Expired // expired
 	// Broken means that servers failed after the request had been sent.
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/search/caller"
 	"gentianpond/internal/search/selector"
 )
@@ -78,22 +79,54 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	status := selectorStatus(res.status)
+	status := selectorStatus(res)
 	r.selector.Finished(now, res.server.Name, res.server.Incarnation, status, res.latency)
 	if l := res.note.Load; l.Known {
+		res.server.load.Store(&toldLoad{Load: l, at: now})
 		r.selector.Observed(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
 	}
+	if sign, ok := q.sign(now, res); ok {
+		congested := sign.Congested() && q.fleet.congested(now, res.server)
+		r.gate(res.server.Service).Observe(now, now.Add(-res.latency), congested)
+	}
 	switch res.status {
 	case caller.Answered, caller.Cancelled, caller.TimedOut:
 		r.hedger(q.route).Observe(now, res.latency)
 	}
 }
 
-func selectorStatus(s caller.Status) selector.Status {
-	switch s {
+// sign returns what a send says of the load of its service, if anything. A send
+// that was called off before the objective, because another one won or the
+// client left, says nothing.
+func (q *query) sign(now time.Time, res result) (admitter.Sign, bool) {
+	s := admitter.Sign{Shed: res.status == caller.Shed, Late: now.After(q.plan.Aim)}
+	load := res.note.Load
+	switch res.status {
+	case caller.Answered, caller.Shed:
+	case caller.Cancelled, caller.TimedOut:
+		// The server has not answered; what it told last has to do.
+		last := res.server.load.Load()
+		if !s.Late || last == nil {
+			return s, false
+		}
+		load = last.Load
+	default:
+		return s, false
+	}
+	s.Known, s.Running, s.Waiting, s.Slots = load.Known, load.Running, load.Waiting, load.Slots
+	return s, true
+}
+
+// selectorStatus returns how a send counts for its server. One that refuses work
+// while it has free slots fails.
+func selectorStatus(res result) selector.Status {
+	switch res.status {
 	case caller.Answered:
 		return selector.Completed
 	case caller.Shed:
+		if l := res.note.Load; l.Known && l.Running < l.Slots {
+			return selector.Failed
+		}
 		return selector.Shed
 	case caller.TimedOut:
 		return selector.TimedOut
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -157,8 +157,13 @@
 )
 
 func (q *query) run(ctx context.Context) Answer {
+	if !q.admit() {
+		return Answer{Reason: Overload, Retry: q.relayer.retryAfter()}
+	}
 	for i := range q.shards {
-		q.launch(ctx, i, first)
+		if !q.shards[i].closed {
+			q.launch(ctx, i, first)
+		}
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -185,6 +190,28 @@
 	}
 }
 
+// admit leaves out shards that are congested. It reports whether enough are left
+// for an answer; otherwise the request is refused before it costs the other
+// shards anything.
+func (q *query) admit() bool {
+	r := q.relayer
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	left := len(q.shards)
+	for i := range q.shards {
+		s := &q.shards[i]
+		share := r.gate(s.service).Share(q.route.Priority, q.fleet.table.Ranks())
+		if share < 1 && r.rand.Float64() >= share {
+			s.closed = true
+			left--
+		}
+	}
+	if left < q.plan.Need {
+		return false
+	}
+	return true
+}
+
 // open returns the number of shards of which a part may still come.
 func (q *query) open() int {
 	n := 0
@@ -267,7 +294,7 @@
 	if why == first {
 		budget.Earn()
 	}
-	target := r.pick(q.fleet, s.service, s.tried, why)
+	target := r.pick(q.fleet, s.service, s.tried)
 	if target == nil {
 		return nil
 	}
@@ -288,7 +315,7 @@
 
 // pick returns the best server of a service that was not tried. The lock is
 // held.
-func (r *Relayer) pick(f *fleet, service string, tried []string, why cause) *server {
+func (r *Relayer) pick(f *fleet, service string, tried []string) *server {
 	m := f.services[service]
 	now := time.Now()
 	for _, names := range [][]string{m.ready, m.silent} {
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -13,15 +13,16 @@
 	_ = x[NoRoute-2]
 	_ = x[NoServer-3]
 	_ = x[Shed-4]
-	_ = x[Expired-5]
-	_ = x[Broken-6]
-	_ = x[TimedOut-7]
-	_ = x[Left-8]
+	_ = x[Overload-5]
+	_ = x[Expired-6]
+	_ = x[Broken-7]
+	_ = x[TimedOut-8]
+	_ = x[Left-9]
 }
 
-const _Reason_name = "servednot readyno routeno servershedexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeno servershedoverloadexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 32, 36, 43, 49, 58, 69}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 32, 36, 44, 51, 57, 66, 77}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -19,6 +19,7 @@
 
 	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/hedger"
 	"gentianpond/internal/search/selector"
@@ -104,6 +105,7 @@
 	selector *selector.Selector
 	hedgers  map[string]*hedger.Hedger
 	budgets  map[string]*hedger.Bucket
+	gates    map[string]*admitter.Gate
 	hosts    int
 	rand     *rand.Rand
 }
@@ -115,6 +117,7 @@
 		selector: selector.New(c.Zone),
 		hedgers:  map[string]*hedger.Hedger{},
 		budgets:  map[string]*hedger.Bucket{},
+		gates:    map[string]*admitter.Gate{},
 		hosts:    hostsUnknown,
 		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -183,6 +186,16 @@
 	return b
 }
 
+// gate returns the gate of a service. The lock is held.
+func (r *Relayer) gate(service string) *admitter.Gate {
+	g, ok := r.gates[service]
+	if !ok {
+		g = &admitter.Gate{}
+		r.gates[service] = g
+	}
+	return g
+}
+
 // hedger returns the latencies of a route. The lock is held.
 func (r *Relayer) hedger(route *router.Route) *hedger.Hedger {
 	h, ok := r.hedgers[route.Name]
@@ -218,6 +231,35 @@
 	pool *connector.Pool
 	// misdirected is set once another server was found at the address.
 	misdirected atomic.Bool
+	// load is the load that the server told last.
+	load atomic.Pointer[toldLoad]
+}
+
+// toldLoad is a load with the time when it was heard.
+type toldLoad struct {
+	Load
+	at time.Time
+}
+
+// loadMemory is how long a reported load counts. Every host hears from a server
+// several times a second.
+const loadMemory = time.Second
+
+// congested reports whether all other servers of a service had requests waiting
+// for every slot when they last told their load. As long as one has not, the
+// requests are better sent there.
+func (f *fleet) congested(now time.Time, but *server) bool {
+	for _, name := range f.services[but.Service].ready {
+		s := f.servers[name]
+		if s == but || s.misdirected.Load() {
+			continue
+		}
+		l := s.load.Load()
+		if l == nil || now.Sub(l.at) > loadMemory || l.Waiting < l.Slots {
+			return false
+		}
+	}
+	return true
 }
 
 // adopt adds a server of the registry to the next fleet. The lock is held.
@@ -232,6 +274,7 @@
 		if current.State != s.State || current.Slots != s.Slots {
 			changed := &server{Server: s, pool: current.pool}
 			changed.misdirected.Store(current.misdirected.Load())
+			changed.load.Store(current.load.Load())
 			current = changed
 		}
 	} else {
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -100,6 +100,7 @@
 	routes   []Route
 	services map[string]Service
 	hosts    map[string][]*Route
+	ranks    int
 }
 
 // New checks a table. The error lists all faults and is an ErrInvalid.
@@ -120,6 +121,7 @@
 	for i := range t.routes {
 		r := &t.routes[i]
 		r.Attempts = max(r.Attempts, 1)
+		t.ranks = max(t.ranks, r.Priority+1)
 		r.turn = &atomic.Uint64{}
 		r.turn.Store(rand.Uint64())
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
@@ -190,6 +192,9 @@
 	return nil, false
 }
 
+// Ranks returns the number of priorities, 0 being the highest.
+func (t *Table) Ranks() int { return t.ranks }
+
 // Routes returns all routes in the order of the document.
 func (t *Table) Routes() []Route { return t.routes }
 
