Hedge early enough for the objective

Cause: while many servers are slow the 0.9 quantile of all latencies outgrows the objective, and a hedge that found no budget was never tried again. Change: the delay is bounded by the time in which an answer is still useful; a hedge without budget is tried again every 5 ms.

--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -17,6 +17,8 @@
 	// limitMargin is how long before its time limit a request gets its final
 	// answer.
 	limitMargin = 30 * time.Millisecond
+	// hedgePause is how long a hedge that found no budget waits for one.
+	hedgePause = 5 * time.Millisecond
 	// maxSends bounds the sends to one shard, those included that servers
 	// refused and that did not leave this host.
 	maxSends = 6
@@ -75,6 +77,8 @@
 	// sent is when the newest send left.
 	sent   time.Time
 	hedged bool
+	// hedgeAt is when a hedge that found no budget is tried again.
+	hedgeAt time.Time
 	part   *result
 	// failure is the last answer of a server that failed to serve the request.
 	failure *connector.Response
@@ -231,7 +235,7 @@
 		if !q.hedgeable(s) {
 			continue
 		}
-		if at := s.sent.Add(delay); at.Before(until) {
+		if at := s.due(delay); at.Before(until) {
 			until = at
 		}
 	}
@@ -247,7 +251,7 @@
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hedger(q.route).Delay(time.Now())
+	return r.hedger(q.route).DelayBefore(time.Now(), q.plan.Aim.Sub(q.plan.Start))
 }
 
 // hedge sends another request for each shard that is late.
@@ -255,21 +259,31 @@
 	delay := q.hedgeDelay()
 	for i := range q.shards {
 		s := &q.shards[i]
-		if q.hedgeable(s) && now.Sub(s.sent) >= delay {
-			s.hedged = true
-			q.launch(ctx, i, hedge)
+		if !q.hedgeable(s) || now.Before(s.due(delay)) {
+			continue
 		}
+		s.hedged = q.launch(ctx, i, hedge)
+		s.hedgeAt = now.Add(hedgePause)
+	}
+}
+
+// due returns when the shard gets a hedge.
+func (s *shard) due(delay time.Duration) time.Time {
+	at := s.sent.Add(delay)
+	if s.hedgeAt.After(at) {
+		return s.hedgeAt
 	}
+	return at
 }
 
-// launch chooses a server and sends the request to it. Without a server or a
-// budget the shard is closed, unless this is a hedge.
-func (q *query) launch(ctx context.Context, i int, why cause) {
+// launch chooses a server and sends the request to it, and reports whether it
+// did. Without a server or a budget the shard is closed, unless this is a hedge.
+func (q *query) launch(ctx context.Context, i int, why cause) bool {
 	s := &q.shards[i]
 	target := q.choose(s, why)
 	if target == nil {
 		s.closed = s.closed || why != hedge
-		return
+		return false
 	}
 	s.tried = append(s.tried, target.Name)
 	s.sends++
@@ -283,6 +297,7 @@
 		q.retries++
 	}
 	go q.send(ctx, i, target)
+	return true
 }
 
 // choose picks a server and takes the budget for it.
--- a/internal/search/hedger/hedger.go
+++ b/internal/search/hedger/hedger.go
@@ -18,6 +18,9 @@
 	DefaultFloor      = time.Millisecond
 )
 
+// usual is how many times the median most answers take at most.
+const usual = 1.6
+
 // Config is the settings of one archive. A zero field means the default; a
 // negative ratio switches that kind of extra attempt off.
 type Config struct {
@@ -106,6 +109,19 @@
 	return max(d, h.config.Floor)
 }
 
+// DelayBefore is Delay for a sub-request whose answer is wanted within a time
+// from its start. A hedge that is sent later than this could not be answered in
+// time: slow servers raise the quantile of all, and the delay would outgrow the
+// objective just when hedges are needed.
+func (h *Hedger) DelayBefore(now time.Time, wanted time.Duration) time.Duration {
+	delay := h.Delay(now)
+	typical, ok := h.digest.quantile(now, 0.5)
+	if !ok {
+		return delay
+	}
+	return max(min(delay, wanted-time.Duration(usual*float64(typical))), h.config.Floor)
+}
+
 func (c Config) withDefaults() Config {
 	if !(c.Quantile > 0 && c.Quantile < 1) {
 		c.Quantile = DefaultQuantile
