--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -315,8 +315,7 @@
 	}
 	switch why {
 	case hedge:
-		// Failures have to find a budget too.
-		if !budget.TakeAbove(r.burst() / 3) {
+		if !budget.TakeAbove(q.reserve(s, r.burst())) {
 			return nil
 		}
 	case retry:
@@ -328,6 +327,21 @@
 	return target
 }
 
+// lateHedge is the share of the time until an answer has to leave after which a
+// shard that is still open counts as a straggler.
+const lateHedge = 0.4
+
+// reserve returns how much of a budget of size burst a hedge leaves untouched.
+// Hosts of a large fleet have little of it: what there is goes to shards without
+// which there is no answer in time, and failures have to find a budget too.
+func (q *query) reserve(s *shard, burst float64) float64 {
+	late := time.Since(s.sent) >= time.Duration(lateHedge*float64(q.plan.Aim.Sub(q.plan.Start)))
+	if late && q.open() > q.plan.Shards-q.plan.Need {
+		return 0
+	}
+	return burst / 2
+}
+
 // pick returns the best server of a service that was not tried. The lock is
 // held.
 func (r *Relayer) pick(f *fleet, service string, tried []string) *server {
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -36,7 +36,7 @@
 	hedgeInitial = 60 * time.Millisecond
 	// budgetShare is the part of the fleet's budget that the hosts share out; the
 	// rest covers hosts that join before the others know.
-	budgetShare = 0.85
+	budgetShare = 0.9
 	// hostsUnknown is the number of hosts assumed until control has counted them.
 	hostsUnknown = 64
 	// connectionShare is the part of a server's connections that the hosts share
@@ -171,8 +171,8 @@
 
 // burst is this host's share of the extra sends that are allowed without
 // requests.
-func (r *Relayer) burst() int {
-	return max(1, int(budgetShare*float64(r.config.Budget.Extra)/float64(r.hosts)))
+func (r *Relayer) burst() float64 {
+	return max(1, budgetShare*float64(r.config.Budget.Extra)/float64(r.hosts))
 }
 
 // budget returns the budget of a service. The lock is held.
--- a/internal/search/hedger/bucket.go
+++ b/internal/search/hedger/bucket.go
@@ -17,14 +17,14 @@
 
 // NewBucket returns an empty bucket. The income is rounded down, so that it
 // never exceeds the ratio.
-func NewBucket(ratio float64, burst int) Bucket {
+func NewBucket(ratio, burst float64) Bucket {
 	if ratio <= 0 {
 		return Bucket{}
 	}
 	// The margin keeps a ratio such as 0.29, whose product is just below a
 	// whole number, from losing a unit.
 	income := int64(math.Floor(ratio*tokenUnit + 1e-6))
-	return Bucket{limit: int64(burst) * tokenUnit, income: income}
+	return Bucket{limit: int64(burst * tokenUnit), income: income}
 }
 
 // Fill puts in all tokens that there is room for.
@@ -34,8 +34,8 @@
 func (b *Bucket) Earn() { b.tokens = min(b.tokens+b.income, b.limit) }
 
 // Resize changes the most tokens that can be saved up.
-func (b *Bucket) Resize(burst int) {
-	b.limit = int64(burst) * tokenUnit
+func (b *Bucket) Resize(burst float64) {
+	b.limit = int64(burst * tokenUnit)
 	b.tokens = min(b.tokens, b.limit)
 }
 
@@ -43,8 +43,8 @@
 func (b *Bucket) Take() bool { return b.TakeAbove(0) }
 
 // TakeAbove takes a token if reserve tokens stay in the bucket afterwards.
-func (b *Bucket) TakeAbove(reserve int) bool {
-	if b.tokens < int64(1+reserve)*tokenUnit {
+func (b *Bucket) TakeAbove(reserve float64) bool {
+	if b.tokens < tokenUnit+int64(reserve*tokenUnit) {
 		return false
 	}
 	b.tokens -= tokenUnit
--- a/internal/search/hedger/hedger.go
+++ b/internal/search/hedger/hedger.go
@@ -62,8 +62,8 @@
 	c = c.withDefaults()
 	h := &Hedger{
 		config: c,
-		hedges: NewBucket(c.Hedge, c.HedgeBurst),
-		retry:  NewBucket(c.Retry, c.RetryBurst),
+		hedges: NewBucket(c.Hedge, float64(c.HedgeBurst)),
+		retry:  NewBucket(c.Retry, float64(c.RetryBurst)),
 	}
 	h.retry.Fill()
 	return h
--- a/internal/search/selector/average.go
+++ b/internal/search/selector/average.go
@@ -5,6 +5,11 @@
 const (
 	// sampleWeight is the share of the newest sample in an average.
 	sampleWeight = 0.2
+	// surge is how many times the average a sample is that counts with
+	// surgeWeight. A host of a large fleet sends a server a request or two a
+	// second; a server that has become slow has to show after the first.
+	surge       = 3
+	surgeWeight = 0.6
 	// halfLife is the age at which an observation counts half.
 	halfLife = 5 * time.Second
 )
@@ -29,6 +34,16 @@
 	a.at = now
 }
 
+// addSurge is add for samples whose surges count more.
+func (a *average) addSurge(now time.Time, sample float64) {
+	if a.at.IsZero() || sample < surge*a.mean {
+		a.add(now, sample)
+		return
+	}
+	a.mean += surgeWeight * (sample - a.mean)
+	a.at = now
+}
+
 // value returns the average mixed with the prior according to its age.
 func (a *average) value(now time.Time, prior float64) float64 {
 	if a.at.IsZero() {
--- a/internal/search/selector/state.go
+++ b/internal/search/selector/state.go
@@ -84,7 +84,7 @@
 func (t *state) observe(now time.Time, status Status, latency time.Duration) {
 	switch status {
 	case Completed:
-		t.latency.add(now, float64(latency))
+		t.latency.addSurge(now, float64(latency))
 		t.failed(now, 0)
 		t.backOff = 0
 	case Failed:
@@ -105,7 +105,7 @@
 // cancelled after a hedge won would keep the latency of its better days.
 func (t *state) atLeast(now time.Time, latency time.Duration) {
 	if float64(latency) > t.latency.value(now, 0) {
-		t.latency.add(now, float64(latency))
+		t.latency.addSurge(now, float64(latency))
 	}
 }
 
