Pack routing documents and look for the leader without payload

Cause: with hundreds of routes a document of 180 KB went to 54 hosts at each change, and up to five copies to each host that looked for the leader, which a link of 14 Mbit/s did not carry within 250 ms: hosts stayed without a table.

--- a/internal/control/keeper/routing.go
+++ b/internal/control/keeper/routing.go
@@ -5,25 +5,27 @@
 	"gentianpond/internal/protocol/messenger"
 )
 
-// routing is the routing document in force, as its operator sent it. Versions
+// routing is the routing document in force, as its operator sent it, packed. Versions
 // are the operator's; the highest one wins, and another document under a
 // version that is not higher changes nothing.
 type routing struct {
 	version uint64
-	text    []byte
+	packed  []byte
 }
 
 func (r *routing) publish(p *messenger.PublishRequest) uint64 {
 	if p.GetVersion() > r.version {
 		r.version = p.GetVersion()
-		r.text = p.GetText()
+		r.packed = p.GetPacked()
 	}
 	return r.version
 }
 
-// Routing returns the version and text of the routing document in force. The
-// version is 0 while there is none. The text must not be modified.
-func (k *Keeper) Routing() (version uint64, text []byte) { return k.routing.version, k.routing.text }
+// Routing returns the version and the packed text of the routing document in
+// force. The version is 0 while there is none. The data must not be modified.
+func (k *Keeper) Routing() (version uint64, packed []byte) {
+	return k.routing.version, k.routing.packed
+}
 
 // Registry returns the registry of backend servers, which must not be modified.
 func (k *Keeper) Registry() *registrar.Registry { return k.registry }
@@ -43,7 +45,7 @@
 
 func (k *Keeper) saveRouting(state *messenger.KeeperState) {
 	if k.routing.version > 0 {
-		state.Routing = &messenger.PublishRequest{Version: k.routing.version, Text: k.routing.text}
+		state.Routing = &messenger.PublishRequest{Version: k.routing.version, Packed: k.routing.packed}
 	}
 	for _, s := range k.registry.List() {
 		state.Registrations = append(state.Registrations, s.Message())
@@ -52,7 +54,7 @@
 }
 
 func (k *Keeper) loadRouting(state *messenger.KeeperState) error {
-	k.routing = routing{version: state.GetRouting().GetVersion(), text: state.GetRouting().GetText()}
+	k.routing = routing{version: state.GetRouting().GetVersion(), packed: state.GetRouting().GetPacked()}
 	var list []registrar.Server
 	for _, m := range state.Registrations {
 		s, err := registrar.FromMessage(m)
--- a/internal/control/server/relay.go
+++ b/internal/control/server/relay.go
@@ -13,8 +13,13 @@
 
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/value/packer"
 )
 
+// MaxDocument is the largest routing document in bytes. Packed, it fits into one
+// record of the log.
+const MaxDocument = 8 << 20
+
 const (
 	// relayLimit bounds a request that came to this host, wherever the leader is.
 	// Callers give a host one second.
@@ -137,7 +142,11 @@
 // Publish stores a routing document and returns the version in force. Errors
 // are ErrNoLeader and ErrRefused.
 func (s *Server) Publish(ctx context.Context, version uint64, text []byte) (uint64, error) {
-	r := &messenger.PublishRequest{Version: version, Text: text}
+	packed, err := packer.Pack(text)
+	if err != nil {
+		return 0, err
+	}
+	r := &messenger.PublishRequest{Version: version, Packed: packed}
 	reply, _, err := lead(ctx, s,
 		func(ctx context.Context, c messenger.ControlServer) (*messenger.PublishReply, error) {
 			return c.Publish(ctx, r)
@@ -149,7 +158,7 @@
 }
 
 // Read returns the routing document in force; its version is 0 while there is
-// none. The error is ErrNoLeader.
+// none. Errors are ErrNoLeader and packer.ErrDamaged.
 func (s *Server) Read(ctx context.Context) (version uint64, text []byte, err error) {
 	r := &messenger.ReadRequest{}
 	reply, _, err := lead(ctx, s,
@@ -159,7 +168,11 @@
 		func(ctx context.Context, c messenger.ControlClient) (*messenger.ReadReply, error) {
 			return c.Read(ctx, r)
 		})
-	return reply.GetVersion(), reply.GetText(), err
+	if err != nil || reply.GetVersion() == 0 {
+		return 0, nil, err
+	}
+	text, err = packer.Unpack(reply.GetPacked(), MaxDocument)
+	return reply.GetVersion(), text, err
 }
 
 // Register takes a check-in of a backend server. It returns the inner address of
--- a/internal/control/server/routing.go
+++ b/internal/control/server/routing.go
@@ -34,7 +34,7 @@
 		case err != nil:
 			done(nil, proposeError(err))
 		default:
-			l.log.Info("routing document in force", "version", result.Published, "sent", r.GetVersion(), "bytes", len(r.GetText()))
+			l.log.Info("routing document in force", "version", result.Published, "sent", r.GetVersion(), "packed", len(r.GetPacked()))
 			done(&messenger.PublishReply{Granted: true, Version: result.Published}, nil)
 		}
 	})
@@ -48,7 +48,7 @@
 			done(&messenger.ReadReply{Leader: l.leader()}, nil)
 			return
 		}
-		version, text := l.keeper.Routing()
-		done(&messenger.ReadReply{Granted: true, Version: version, Text: text}, nil)
+		version, packed := l.keeper.Routing()
+		done(&messenger.ReadReply{Granted: true, Version: version, Packed: packed}, nil)
 	})
 }
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -94,7 +94,7 @@
 }
 
 func (l *loop) watchReply(now time.Duration, r *messenger.WatchRequest) *messenger.WatchReply {
-	version, text := l.keeper.Routing()
+	version, packed := l.keeper.Routing()
 	reply := &messenger.WatchReply{
 		Granted:  true,
 		Version:  version,
@@ -103,7 +103,7 @@
 		Control:  addresses(l.status),
 	}
 	if r.GetVersion() < version {
-		reply.Text = text
+		reply.Packed = packed
 	}
 	if r.GetRegistry() < reply.Registry {
 		list, complete := l.keeper.Registry().Since(r.GetRegistry())
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -15,6 +16,7 @@
 
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/value/packer"
 )
 
 const (
@@ -31,8 +33,13 @@
 	findPause = 60 * time.Millisecond
 	// findMost is the number of hosts that are asked at once.
 	findMost = 5
+	// loadTime bounds the first watch of a leader that was found, whose answer
+	// may hold all there is. A host with a link of 14 Mbit/s may need a second.
+	loadTime = 3 * time.Second
 	// watchPause is the least time between two watches.
 	watchPause = 20 * time.Millisecond
+	// maxDocument is the largest routing document in bytes.
+	maxDocument = 8 << 20
 )
 
 // Watched is what an entry host knows of the routing document and the registry.
@@ -101,11 +108,15 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	defer w.drop()
 	for ctx.Err() == nil {
-		if w.leader.client == nil && !w.find(ctx) {
-			wait(ctx, findPause/2+rand.N(findPause/2))
-			continue
+		timeout := holdTime + answerTime
+		if w.leader.client == nil {
+			if !w.find(ctx) {
+				wait(ctx, findPause/2+rand.N(findPause/2))
+				continue
+			}
+			timeout = loadTime
 		}
-		w.follow(ctx)
+		w.follow(ctx, timeout)
 		wait(ctx, watchPause)
 	}
 	return ctx.Err()
@@ -120,8 +131,9 @@
 }
 
 // follow asks the leader for news.
-func (w *Watcher) follow(ctx context.Context) {
-	reply, err := w.ask(ctx, w.leader.client, holdTime, holdTime+answerTime)
+func (w *Watcher) follow(ctx context.Context, timeout time.Duration) {
+	s := w.State()
+	reply, err := watch(ctx, w.leader.client, w.request(s.Version, s.registry, holdTime), timeout)
 	if err == nil && reply.GetGranted() {
 		w.adopt(reply, time.Now())
 		return
@@ -132,17 +144,20 @@
 	w.drop()
 }
 
-func (w *Watcher) ask(ctx context.Context, c messenger.ControlClient, hold, timeout time.Duration) (*messenger.WatchReply, error) {
-	s := w.State()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return c.Watch(ctx, &messenger.WatchRequest{
+func (w *Watcher) request(version, registry uint64, hold time.Duration) *messenger.WatchRequest {
+	return &messenger.WatchRequest{
 		Host:        w.config.Host,
 		Incarnation: w.config.Incarnation,
-		Version:     s.Version,
-		Registry:    s.registry,
+		Version:     version,
+		Registry:    registry,
 		Wait:        durationpb.New(hold),
-	})
+	}
+}
+
+func watch(ctx context.Context, c messenger.ControlClient, r *messenger.WatchRequest, timeout time.Duration) (*messenger.WatchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Watch(ctx, r)
 }
 
 // found is the answer of one host that may be the leader.
@@ -166,7 +181,6 @@
 		if f.reply.GetGranted() && w.leader.client == nil {
 			w.leader = f.peer
 			w.config.Log.Info("found the control leader", "table", f.reply.GetVersion(), "registry", f.reply.GetRegistry())
-			w.adopt(f.reply, time.Now())
 			cancel()
 			continue
 		}
@@ -177,15 +191,17 @@
 	return w.leader.client != nil
 }
 
-// probe asks one host, and the leader that it names.
+// probe asks one host, and the leader that it names, who leads. It asks for
+// nothing else: several answers with all that there is would fill a narrow link.
 func (w *Watcher) probe(ctx context.Context, addr netip.AddrPort) found {
+	request := w.request(math.MaxUint64, math.MaxUint64, 0)
 	for range maxRedirects {
 		client, closer, err := w.config.Connect(addr)
 		if err != nil {
 			return found{}
 		}
 		p := peer{client: client, closer: closer}
-		reply, err := w.ask(ctx, client, 0, findTime)
+		reply, err := watch(ctx, client, request, findTime)
 		if err != nil || reply.GetGranted() {
 			return found{peer: p, reply: reply}
 		}
@@ -219,10 +235,16 @@
 	next := old
 	next.At = now
 	changed := false
-	if reply.GetVersion() > old.Version && len(reply.GetText()) > 0 {
-		next.Version, next.Text = reply.GetVersion(), reply.GetText()
+	if reply.GetVersion() > old.Version && len(reply.GetPacked()) > 0 {
+		text, err := packer.Unpack(reply.GetPacked(), maxDocument)
+		if err != nil {
+			w.config.Log.Error("routing document dropped", "version", reply.GetVersion(), "err", err)
+			return
+		}
+		next.Version, next.Text = reply.GetVersion(), text
 		changed = true
-		w.config.Log.Info("routing document received", "version", next.Version, "before", old.Version, "bytes", len(next.Text))
+		w.config.Log.Info("routing document received", "version", next.Version, "before", old.Version, "bytes", len(text),
+			"packed", len(reply.GetPacked()))
 	}
 	if reply.GetRegistry() > old.registry {
 		next.Servers = w.merge(old.Servers, reply)
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -79,7 +79,7 @@
 	hedged bool
 	// hedgeAt is when a hedge that found no budget is tried again.
 	hedgeAt time.Time
-	part   *result
+	part    *result
 	// failure is the last answer of a server that failed to serve the request.
 	failure *connector.Response
 	// closed is set when nothing more can be sent.
