Extra sends from the window's allowance, skip repeated answers of earlier requests

Cause: hosts of a large fleet ran out of hedges in the first seconds of trouble and got none from the allowance that comes with every window; answers of earlier requests that servers send again cost a send and a retry.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -18,6 +18,8 @@
 const (
 	// maxAnswer is the largest answer in bytes.
 	maxAnswer = 8 << 20
+	// maxSkipped is the number of answers of other requests that are skipped.
+	maxSkipped = 2
 	// readBuffer holds the head and the body of most answers.
 	readBuffer = 2 << 10
 	// wholeWrite is the size in bytes up to which a request fits into the send
@@ -127,7 +129,7 @@
 			<-done
 		}()
 	}
-	response, keep, err := c.read(r.Method)
+	response, keep, err := c.read(r)
 	if err != nil {
 		return nil, false, err
 	}
@@ -136,14 +138,15 @@
 
 // read reads one answer. Keep is true when nothing follows it and the server
 // keeps the connection.
-func (c *conn) read(method string) (*Response, bool, error) {
+func (c *conn) read(r *Request) (*Response, bool, error) {
 	if _, err := c.reader.Peek(1); err != nil {
 		if c.kept {
 			err = errors.Join(ErrStale, err)
 		}
 		return nil, false, errors.Join(ErrBroken, err)
 	}
-	request := &http.Request{Method: method}
+	request := &http.Request{Method: r.Method}
+	skipped := 0
 	for {
 		res, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -156,7 +159,12 @@
 		if err != nil {
 			return nil, false, errors.Join(ErrBroken, err)
 		}
-		keep := !res.Close && c.reader.Buffered() == 0
+		if r.Own != nil && !r.Own(res.Header) && !res.Close && skipped < maxSkipped {
+			skipped++
+			continue
+		}
+		// A connection with answers of other requests is not used again.
+		keep := !res.Close && c.reader.Buffered() == 0 && skipped == 0
 		return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, keep, nil
 	}
 }
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -67,7 +67,11 @@
 	// Finish sets the headers that depend on the time of sending, such as the
 	// time left: a request may wait for a connection. It may be nil.
 	Finish func(http.Header)
-	Body   []byte
+	// Own reports whether an answer belongs to this request. Servers may send an
+	// answer of an earlier request again; it is skipped, and the next one read.
+	// It may be nil.
+	Own  func(http.Header) bool
+	Body []byte
 }
 
 // Response is one complete answer.
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -82,7 +82,7 @@
 	f.relayer = relayer.New(relayer.Config{
 		Zone:   s.Zone,
 		Codec:  d.Codec,
-		Budget: relayer.Budget{Ratio: s.Ratio, Extra: s.Extra},
+		Budget: relayer.Budget{Ratio: s.Ratio, Extra: s.Extra, Window: s.Window},
 		Margin: d.Margin,
 		Log:    logger,
 		Scope:  scope.SubScope("relay"),
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -305,7 +305,7 @@
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	budget := r.budget(s.service)
+	budget := r.budget(time.Now(), s.service)
 	if why == first {
 		budget.Earn()
 	}
@@ -339,7 +339,8 @@
 	if late && q.open() > q.plan.Shards-q.plan.Need {
 		return 0
 	}
-	return burst / 2
+	// A budget that is full earns nothing more, and may as well be used.
+	return min(burst/2, burst-1)
 }
 
 // pick returns the best server of a service that was not tried. The lock is
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -37,6 +37,9 @@
 	// budgetShare is the part of the fleet's budget that the hosts share out; the
 	// rest covers hosts that join before the others know.
 	budgetShare = 0.9
+	// burstShare is the part of a host's share that may be saved up. Trouble
+	// starts at many shards at once.
+	burstShare = 0.85
 	// hostsUnknown is the number of hosts assumed until control has counted them.
 	hostsUnknown = 64
 	// connectionShare is the part of a server's connections that the hosts share
@@ -78,9 +81,10 @@
 // Budget bounds the extra sends to a service, summed over all hosts.
 type Budget struct {
 	// Ratio is the number of extra sends per request, Extra the number that is
-	// allowed besides.
-	Ratio float64
-	Extra int
+	// allowed besides in any time of length Window.
+	Ratio  float64
+	Extra  int
+	Window time.Duration
 }
 
 // Config says how a relayer works.
@@ -104,7 +108,7 @@
 	mu       sync.Mutex
 	selector *selector.Selector
 	hedgers  map[string]*hedger.Hedger
-	budgets  map[string]*hedger.Bucket
+	budgets  map[string]*budget
 	gates    map[string]*admitter.Gate
 	hosts    int
 	rand     *rand.Rand
@@ -116,7 +120,7 @@
 		config:   c,
 		selector: selector.New(c.Zone),
 		hedgers:  map[string]*hedger.Hedger{},
-		budgets:  map[string]*hedger.Bucket{},
+		budgets:  map[string]*budget{},
 		gates:    map[string]*admitter.Gate{},
 		hosts:    hostsUnknown,
 		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -169,20 +173,36 @@
 	}
 }
 
-// burst is this host's share of the extra sends that are allowed without
-// requests.
-func (r *Relayer) burst() float64 {
-	return max(1, budgetShare*float64(r.config.Budget.Extra)/float64(r.hosts))
+// share is this host's part of the extra sends that are allowed in a window
+// whatever the number of requests. Most of it may be saved up, the rest
+// comes with time, so that a window never sees more than the whole.
+func (r *Relayer) share() float64 {
+	return budgetShare * float64(r.config.Budget.Extra) / float64(r.hosts)
 }
 
-// budget returns the budget of a service. The lock is held.
-func (r *Relayer) budget(service string) *hedger.Bucket {
+// burst is the most tokens that a budget holds. With less than one nothing could
+// ever be sent.
+func (r *Relayer) burst() float64 { return max(1, burstShare*r.share()) }
+
+// budget is this host's share of the extra sends to one service.
+type budget struct {
+	hedger.Bucket
+	at time.Time
+}
+
+// budget returns the budget of a service, with the tokens that came with time.
+// The lock is held.
+func (r *Relayer) budget(now time.Time, service string) *budget {
 	b, ok := r.budgets[service]
 	if !ok {
-		fresh := hedger.NewBucket(budgetShare*r.config.Budget.Ratio, r.burst())
-		b = &fresh
+		b = &budget{Bucket: hedger.NewBucket(budgetShare*r.config.Budget.Ratio, r.burst()), at: now}
+		// One token at the start: the first request after a restart needs it as
+		// much as any other.
+		b.Add(1)
 		r.budgets[service] = b
 	}
+	b.Add(now.Sub(b.at).Seconds() / r.config.Budget.Window.Seconds() * max(0, r.share()-r.burst()))
+	b.at = now
 	return b
 }
 
--- a/internal/search/hedger/bucket.go
+++ b/internal/search/hedger/bucket.go
@@ -33,6 +33,11 @@
 // Earn adds the share of a token that one event brings.
 func (b *Bucket) Earn() { b.tokens = min(b.tokens+b.income, b.limit) }
 
+// Add puts in tokens that do not come from events.
+func (b *Bucket) Add(tokens float64) {
+	b.tokens = min(b.tokens+int64(tokens*tokenUnit), b.limit)
+}
+
 // Resize changes the most tokens that can be saved up.
 func (b *Bucket) Resize(burst float64) {
 	b.limit = int64(burst * tokenUnit)
--- a/internal/settings/loader/open.go
+++ b/internal/settings/loader/open.go
@@ -33,10 +33,11 @@
 	Seeds []netip.AddrPort
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
-	// Ratio and Extra are the budget for extra sends to a service, of all hosts
-	// together.
-	Ratio float64
-	Extra int
+	// Ratio, Extra and Window are the budget for extra sends to a service, of all
+	// hosts together.
+	Ratio  float64
+	Extra  int
+	Window time.Duration
 	// Metrics is the address of the metrics page; none means no page.
 	Metrics netip.AddrPort
 }
@@ -82,7 +83,7 @@
 func ParseRelay(name string, text []byte) (Relay, error) {
 	s, root := scanner.Parse(name, text)
 	r := Relay{Grace: DefaultGrace}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "window", "metrics"); ok {
 		var used addresses
 		r.Name = needName(o, "name")
 		r.Zone = needName(o, "zone")
@@ -91,6 +92,7 @@
 		r.Seeds = parseSeeds(o)
 		r.Ratio = need(o, "ratio", func(n scanner.Node) (float64, bool) { return n.Float(0, 1) })
 		r.Extra = int(need(o, "extra", func(n scanner.Node) (uint64, bool) { return n.Uint(0, maxExtra) }))
+		r.Window = need(o, "window", func(n scanner.Node) (time.Duration, bool) { return n.Duration(time.Second, time.Hour) })
 		if n, ok := o.Field("grace"); ok {
 			r.Grace, _ = n.Duration(time.Second, maxDrain)
 		}
