Connect to servers that are down in the background

Change: a server to which no connection could be opened gets requests again once a connection was opened in the background.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -132,18 +132,34 @@
 // request.
 func (p *Pool) Warm(ctx context.Context) {
 	p.mu.Lock()
-	if p.open > 0 || p.closed {
+	cold := p.open == 0
+	p.mu.Unlock()
+	if cold {
+		_ = p.Connect(ctx)
+	}
+}
+
+// Connect opens a connection for later requests. It returns ErrClosed or why
+// there is none; without room for another connection it does nothing.
+func (p *Pool) Connect(ctx context.Context) error {
+	p.mu.Lock()
+	if p.closed {
 		p.mu.Unlock()
-		return
+		return ErrClosed
+	}
+	if p.open >= p.limit {
+		p.mu.Unlock()
+		return nil
 	}
 	p.open++
 	p.mu.Unlock()
 	c, err := p.dial(ctx)
 	if err != nil {
 		p.discard(nil)
-		return
+		return err
 	}
 	p.release(c, true)
+	return nil
 }
 
 // Sweep closes connections that were idle for long.
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -42,6 +42,9 @@
 		r.note = q.relayer.config.Codec.Decode(response.Status, response.Header)
 	}
 	r.status = classify(ctx, q.id, r)
+	if r.status == caller.Unsent {
+		q.relayer.takeDown(q.relayer.life(), s)
+	}
 	q.relayer.observe(q, r)
 	// There is room for every send of the query.
 	q.results <- r
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -343,19 +343,23 @@
 	return min(burst/2, burst-1)
 }
 
-// pick returns the best server of a service that was not tried. The lock is
-// held.
+// pick returns the best server of a service that was not tried: one that is up,
+// else one that is silent, else one that is down. The lock is held.
 func (r *Relayer) pick(f *fleet, service string, tried []string) *server {
 	m := f.services[service]
 	now := time.Now()
-	for _, names := range [][]string{m.ready, m.silent} {
+	for _, step := range []struct {
+		names []string
+		down  bool
+	}{{m.ready, false}, {m.silent, false}, {m.ready, true}, {m.silent, true}} {
 		excluded := tried
 		for {
-			name, ok := r.selector.Choose(now, r.rand, names, excluded)
+			name, ok := r.selector.Choose(now, r.rand, step.names, excluded)
 			if !ok {
 				break
 			}
-			if s := f.servers[name]; !s.misdirected.Load() {
+			s := f.servers[name]
+			if !s.misdirected.Load() && s.down.Load() == step.down {
 				return s
 			}
 			excluded = append(slices.Clone(excluded), name)
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -103,6 +103,8 @@
 type Relayer struct {
 	config Config
 	fleet  atomic.Pointer[fleet]
+	// ctx ends with Run.
+	ctx atomic.Pointer[context.Context]
 
 	// mu guards what follows.
 	mu       sync.Mutex
@@ -135,6 +137,7 @@
 // Update takes the routing table, the registry and the number of hosts, which
 // is 0 while it is unknown.
 func (r *Relayer) Update(ctx context.Context, table *router.Table, registry []registrar.Server, hosts int) {
+	r.ctx.CompareAndSwap(nil, &ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if hosts > 0 {
@@ -157,6 +160,14 @@
 	r.fleet.Store(next)
 }
 
+// life returns a context that ends when the host stops.
+func (r *Relayer) life() context.Context {
+	if ctx := r.ctx.Load(); ctx != nil {
+		return *ctx
+	}
+	return context.Background()
+}
+
 // Run looks after idle connections until ctx ends.
 func (r *Relayer) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
@@ -251,6 +262,8 @@
 	pool *connector.Pool
 	// misdirected is set once another server was found at the address.
 	misdirected atomic.Bool
+	// down is set after a connection could not be opened, until one can be.
+	down atomic.Bool
 	// load is the load that the server told last.
 	load atomic.Pointer[toldLoad]
 }
@@ -294,6 +307,9 @@
 		if current.State != s.State || current.Slots != s.Slots {
 			changed := &server{Server: s, pool: current.pool}
 			changed.misdirected.Store(current.misdirected.Load())
+			if current.down.Load() {
+				r.takeDown(ctx, changed)
+			}
 			changed.load.Store(current.load.Load())
 			current = changed
 		}
