--- /dev/null
+++ b/internal/control/server/open_test.go
@@ -0,0 +1,292 @@
+package server
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/control/replicator"
+	"gentianpond/internal/control/subscriber"
+	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/protocol/messenger"
+)
+
+// openGroup is a group whose hosts find each other through seeds. Each host has
+// a loopback address of its own.
+type openGroup struct {
+	t     *testing.T
+	root  string
+	port  uint16
+	seeds []netip.AddrPort
+	nodes map[netip.AddrPort]*openNode
+}
+
+type openNode struct {
+	server *Server
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func newOpenGroup(t *testing.T) *openGroup {
+	g := &openGroup{t: t, root: t.TempDir(), port: freeAddress(t).Port(), nodes: map[netip.AddrPort]*openNode{}}
+	for i := range byte(3) {
+		g.seeds = append(g.seeds, g.address(i+1))
+	}
+	t.Cleanup(func() {
+		for a := range g.nodes {
+			g.stop(a)
+		}
+	})
+	return g
+}
+
+// address returns that of host number n.
+func (g *openGroup) address(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 17, n}), g.port)
+}
+
+func (g *openGroup) start(a netip.AddrPort, bootstrap bool) *Server {
+	s, err := New(Settings{
+		Name: a.Addr().String(), Zone: "z", Inner: a, Data: filepath.Join(g.root, a.Addr().String()),
+		Seeds: g.seeds, Bootstrap: bootstrap, Voters: 3, Silence: time.Second,
+	}, quiet().With("at", a), tally.NoopScope)
+	require.NoError(g.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &openNode{server: s, cancel: cancel, done: make(chan error, 1)}
+	g.nodes[a] = n
+	go func() { n.done <- s.Run(ctx) }()
+	return s
+}
+
+func (g *openGroup) stop(a netip.AddrPort) {
+	n := g.nodes[a]
+	delete(g.nodes, a)
+	n.cancel()
+	require.NoError(g.t, <-n.done)
+}
+
+// wipe empties the data folder of a stopped host.
+func (g *openGroup) wipe(a netip.AddrPort) {
+	require.NoError(g.t, os.RemoveAll(filepath.Join(g.root, a.Addr().String())))
+}
+
+// publish retries as an operator does.
+func (g *openGroup) publish(s *Server, version uint64, text string) {
+	require.Eventually(g.t, func() bool {
+		got, err := s.Publish(g.t.Context(), version, []byte(text))
+		return err == nil && got >= version
+	}, patience, 20*time.Millisecond)
+}
+
+func (g *openGroup) read(s *Server) (version uint64, text string) {
+	require.Eventually(g.t, func() bool {
+		v, data, err := s.Read(g.t.Context())
+		version, text = v, string(data)
+		return err == nil && v > 0
+	}, patience, 20*time.Millisecond)
+	return version, text
+}
+
+// voters waits until the group has exactly these voters and no others.
+func (g *openGroup) voters(s *Server, want ...netip.AddrPort) {
+	require.Eventually(g.t, func() bool {
+		reply, err := s.Status(g.t.Context())
+		if err != nil {
+			return false
+		}
+		got := map[string]bool{}
+		for _, v := range reply.GetVoters() {
+			if v.GetVoter() {
+				got[v.GetAddress()] = true
+			}
+		}
+		for _, a := range want {
+			if !got[a.String()] {
+				return false
+			}
+		}
+		return len(got) == len(want)
+	}, patience, 20*time.Millisecond)
+}
+
+// TestOpenGroup guards against a group that does not form without a list of
+// hosts, and against documents that a resend or an older version changes.
+func TestOpenGroup(t *testing.T) {
+	g := newOpenGroup(t)
+	var all []*Server
+	for _, a := range g.seeds {
+		all = append(all, g.start(a, true))
+	}
+	g.publish(all[0], 5, "five")
+	for _, s := range all {
+		version, text := g.read(s)
+		require.EqualValues(t, 5, version)
+		require.Equal(t, "five", text)
+	}
+	g.publish(all[1], 5, "other content")
+	g.publish(all[2], 3, "older")
+	_, text := g.read(all[1])
+	require.Equal(t, "five", text)
+	g.publish(all[2], 9, "nine")
+	version, text := g.read(all[0])
+	require.EqualValues(t, 9, version)
+	require.Equal(t, "nine", text)
+}
+
+// TestWipedSeed guards against a host that lost its disk and votes as the one
+// that it was: together with a host that lags, it could form a majority that
+// forgot what was acknowledged.
+func TestWipedSeed(t *testing.T) {
+	g := newOpenGroup(t)
+	a, b, c := g.seeds[0], g.seeds[1], g.seeds[2]
+	first := g.start(a, true)
+	g.start(b, true)
+	// Host c was never there: a and b are the quorum that acknowledges.
+	g.publish(first, 1, "one")
+	g.stop(a)
+	g.stop(b)
+	g.wipe(b)
+	// The wiped b and the empty c must not make a group that knows nothing.
+	second := g.start(b, false)
+	third := g.start(c, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	_, _, err := second.Read(ctx)
+	require.ErrorIs(t, err, ErrNoLeader)
+	_, _, err = third.Read(ctx)
+	require.ErrorIs(t, err, ErrNoLeader)
+	// With a back, what was acknowledged is there, and b is taken in anew.
+	g.start(a, false)
+	_, text := g.read(third)
+	require.Equal(t, "one", text)
+	g.voters(third, a, b, c)
+	_, text = g.read(second)
+	require.Equal(t, "one", text)
+}
+
+// TestReplacedHost guards against a voter that is gone for good and stays in
+// the membership, although another host stands by.
+func TestReplacedHost(t *testing.T) {
+	g := newOpenGroup(t)
+	for _, a := range g.seeds {
+		g.start(a, true)
+	}
+	g.publish(g.nodes[g.seeds[0]].server, 1, "one")
+	fourth := g.address(4)
+	spare := g.start(fourth, false)
+	g.stop(g.seeds[2])
+	g.voters(spare, g.seeds[0], g.seeds[1], fourth)
+	_, text := g.read(spare)
+	require.Equal(t, "one", text)
+}
+
+// TestWatch guards against an entry host that misses a document, a new server or
+// one that drains, also when the leader changes.
+func TestWatch(t *testing.T) {
+	g := newOpenGroup(t)
+	var all []*Server
+	for _, a := range g.seeds {
+		all = append(all, g.start(a, true))
+	}
+	w := subscriber.NewWatcher(subscriber.WatcherConfig{
+		Host: "entry", Incarnation: 1, Seeds: g.seeds[:1], Changed: func(subscriber.Watched) {}, Log: quiet(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	defer func() {
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+	}()
+	holds := func(check func(subscriber.Watched) bool) {
+		require.Eventually(t, func() bool { return check(w.State()) }, patience, 10*time.Millisecond)
+	}
+	g.publish(all[1], 1, "one")
+	holds(func(s subscriber.Watched) bool { return s.Version == 1 && string(s.Text) == "one" })
+	server := registrar.Server{Name: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1"), Zone: "z", Slots: 1, Incarnation: 1, Sequence: 1}
+	g.register(all[2], server)
+	holds(func(s subscriber.Watched) bool { return len(s.Servers) == 1 && s.Servers[0].State == registrar.Ready })
+	leader := g.leader(all)
+	g.stop(leader)
+	var rest *Server
+	for _, n := range g.nodes {
+		rest = n.server
+	}
+	server.State, server.Sequence = registrar.Draining, 2
+	g.register(rest, server)
+	holds(func(s subscriber.Watched) bool { return len(s.Servers) == 1 && s.Servers[0].State == registrar.Draining })
+	g.register(rest, registrar.Server{Name: "a", State: registrar.Gone})
+	holds(func(s subscriber.Watched) bool { return len(s.Servers) == 0 })
+}
+
+func (g *openGroup) register(s *Server, server registrar.Server) {
+	require.Eventually(g.t, func() bool {
+		_, err := s.Register(g.t.Context(), server)
+		return err == nil
+	}, patience, 20*time.Millisecond)
+}
+
+// leader returns the address of the leader.
+func (g *openGroup) leader(all []*Server) netip.AddrPort {
+	var found netip.AddrPort
+	require.Eventually(g.t, func() bool {
+		for _, s := range all {
+			reply, err := s.Status(g.t.Context())
+			if err == nil && reply.GetRole() == replicator.RoleLeader.String() {
+				found = s.settings.Inner
+				return true
+			}
+		}
+		return false
+	}, patience, 20*time.Millisecond)
+	return found
+}
+
+// TestSilent guards against servers that keep getting requests although they
+// stopped checking in, and against all of them being given up because this host
+// is the one that is cut off.
+func TestSilent(t *testing.T) {
+	const silence = time.Second
+	registry := registrar.New()
+	for i, name := range []string{"a", "b", "c"} {
+		registry.Apply(uint64(i+1), time.Unix(1000, 0), registrar.Server{
+			Name: name, Service: "s", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)), Slots: 1, Incarnation: 1, Sequence: 1,
+		})
+	}
+	a := newAttendance(0)
+	for _, name := range []string{"a", "b", "c"} {
+		a.note(0, name)
+	}
+	a.note(5*time.Second, "a")
+	a.note(5*time.Second, "b")
+	list := a.silent(5*time.Second, silence, registry)
+	require.Len(t, list, 1)
+	require.Equal(t, "c", list[0].Name)
+	require.Empty(t, a.silent(10*time.Second, silence, registry), "nobody was heard")
+	a.pause(10 * time.Second)
+	a.note(10*time.Second, "a")
+	a.note(10*time.Second, "b")
+	require.Empty(t, a.silent(10*time.Second, silence, registry), "this host did not run")
+}
+
+// TestRefusedRegistration guards against an invalid registration that is stored
+// or that makes the caller try for ever.
+func TestRefusedRegistration(t *testing.T) {
+	g := newOpenGroup(t)
+	var all []*Server
+	for _, a := range g.seeds {
+		all = append(all, g.start(a, true))
+	}
+	g.publish(all[0], 1, "one")
+	_, err := all[0].Register(t.Context(), registrar.Server{Name: "a", State: registrar.Ready})
+	require.ErrorIs(t, err, ErrRefused)
+	reply, err := (&service{server: all[0]}).Watch(t.Context(), &messenger.WatchRequest{Host: "h"})
+	require.NoError(t, err)
+	require.Empty(t, reply.GetRegistrations())
+}
--- /dev/null
+++ b/internal/fleet/registrar/registrar_test.go
@@ -0,0 +1,134 @@
+package registrar
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0).UTC()
+
+// TestScripts guards against check-ins that are judged by their arrival instead
+// of by their order. A line is "name service port state incarnation sequence".
+func TestScripts(t *testing.T) {
+	var r *Registry
+	var index uint64
+	datadriven.RunTest(t, "testdata/scripts", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "new" {
+			r, index = New(), 0
+		}
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var s Server
+			var port uint16
+			var state string
+			_, err := fmt.Sscan(line, &s.Name, &s.Service, &port, &state, &s.Incarnation, &s.Sequence)
+			require.NoError(t, err)
+			s.Address = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)
+			s.State = map[string]State{"ready": Ready, "silent": Silent, "draining": Draining, "gone": Gone}[state]
+			index++
+			fmt.Fprintln(&out, r.Judge(s))
+			r.Apply(index, epoch, s)
+		}
+		for _, s := range r.List() {
+			fmt.Fprintf(&out, "%s %s %s %d/%d at %d\n", s.Name, s.State, s.Address, s.Incarnation, s.Sequence, s.Changed)
+		}
+		return out.String()
+	})
+}
+
+// drawServer draws a check-in of few servers at few addresses, so that they
+// meet.
+func drawServer(t *rapid.T) Server {
+	return Server{
+		Name:        rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"),
+		Service:     "s",
+		Address:     netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), rapid.Uint16Range(1, 2).Draw(t, "port")),
+		Slots:       1,
+		Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+		Sequence:    rapid.Uint64Range(1, 4).Draw(t, "sequence"),
+		State:       State(rapid.IntRange(0, int(Gone)).Draw(t, "state")),
+	}
+}
+
+// TestLeavingIsFinal guards against a delayed check-in that brings back a
+// server that drains or has gone, and against two servers at one address.
+func TestLeavingIsFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		left := map[string]uint64{}
+		for i := range rapid.IntRange(1, 40).Draw(t, "check-ins") {
+			s := drawServer(t)
+			applied := r.Apply(uint64(i+1), epoch, s)
+			now, ok := r.Get(s.Name)
+			if applied && (s.State == Draining || s.State == Gone) {
+				left[s.Name] = now.Incarnation
+			}
+			if incarnation, gone := left[s.Name]; ok && gone && now.Incarnation == incarnation {
+				require.NotEqual(t, Ready, now.State, "server %s", s.Name)
+			}
+			used := map[netip.AddrPort]string{}
+			r.Each(func(s Server) {
+				require.Empty(t, used[s.Address], "address %s", s.Address)
+				used[s.Address] = s.Name
+			})
+		}
+	})
+}
+
+// TestSince guards against a host that follows the registry by its changes and
+// ends with another set of servers, also across a snapshot.
+func TestSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		held := map[string]Server{}
+		last := uint64(0)
+		for i := range rapid.IntRange(1, 40).Draw(t, "check-ins") {
+			r.Apply(uint64(i+1), epoch, drawServer(t))
+			if rapid.Bool().Draw(t, "snapshot") {
+				r = Load(r.List(), r.Floor())
+			}
+			if !rapid.Bool().Draw(t, "watch") {
+				continue
+			}
+			list, complete := r.Since(last)
+			if complete {
+				clear(held)
+			}
+			for _, s := range list {
+				delete(held, s.Name)
+				if s.State != Gone {
+					held[s.Name] = s
+				}
+			}
+			last = r.Last()
+			want := map[string]Server{}
+			r.Each(func(s Server) { want[s.Name] = s })
+			require.Equal(t, want, held)
+		}
+	})
+}
+
+// TestForget guards against memory that grows with every server that ever was,
+// and against a host that misses the end of a server that was forgotten.
+func TestForget(t *testing.T) {
+	r := New()
+	s := Server{Name: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 1, Incarnation: 1, Sequence: 1}
+	require.True(t, r.Apply(1, epoch, s))
+	require.True(t, r.Apply(2, epoch, Server{Name: "a", Incarnation: 1, State: Gone}))
+	b := s
+	b.Name, b.Address = "b", netip.MustParseAddrPort("10.0.0.1:2")
+	require.True(t, r.Apply(3, epoch.Add(Memory), b))
+	require.True(t, r.Apply(4, epoch.Add(Memory), Server{Name: "b", Incarnation: 1, State: Gone}))
+	_, known := r.Get("a")
+	require.False(t, known)
+	list, complete := r.Since(1)
+	require.True(t, complete)
+	require.Empty(t, list)
+}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -207,9 +207,9 @@
 	b, ok := r.budgets[service]
 	if !ok {
 		b = &budget{Bucket: hedger.NewBucket(budgetShare*r.config.Budget.Ratio, r.burst()), at: now}
-		// One token at the start: the first request after a restart needs it as
-		// much as any other.
-		b.Add(1)
+		// The first requests after a start need it as much as any others. Half of
+		// it keeps hosts that restart from sending twice their share.
+		b.Add(max(1, r.burst()/2))
 		r.budgets[service] = b
 	}
 	b.Add(now.Sub(b.at).Seconds() / r.config.Budget.Window.Seconds() * max(0, r.share()-r.burst()))
--- /dev/null
+++ b/internal/route/relayer/relayer_test.go
@@ -0,0 +1,375 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/route/router"
+)
+
+// codec is a protocol of the test.
+type codec struct{}
+
+func (codec) Encode(h http.Header, id string, left time.Duration, server string) {
+	h.Set("Id", id)
+	h.Set("Left", left.String())
+	h.Set("Server", server)
+}
+
+func (codec) Decode(status int, h http.Header) Note {
+	return Note{ID: h.Get("Id"), Stamp: h.Get("Stamp"), Refused: h.Get("Refused") != "", Misdirected: status == http.StatusMisdirectedRequest}
+}
+
+// backend is a fake server; serve may be changed between requests.
+type backend struct {
+	server registrar.Server
+	count  atomic.Int64
+	serve  atomic.Pointer[http.HandlerFunc]
+}
+
+func (b *backend) set(h http.HandlerFunc) { b.serve.Store(&h) }
+
+func newBackend(t *testing.T, service, name string) *backend {
+	b := &backend{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.count.Add(1)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if h := b.serve.Load(); h != nil {
+			(*h)(w, r)
+			return
+		}
+		part(name)(w, r)
+	}))
+	t.Cleanup(s.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	b.server = registrar.Server{Name: name, Service: service, Address: address, Zone: "z", Slots: 4, Incarnation: 1, Sequence: 1}
+	return b
+}
+
+// part answers with one record that starts with the name.
+func part(name string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Stamp", "stamp-"+name)
+		_, _ = io.WriteString(w, (name + strings.Repeat(".", 16))[:16])
+	}
+}
+
+func slow(d time.Duration, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(d):
+			next(w, r)
+		case <-r.Context().Done():
+		}
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Refused", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func crash(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// world is a relayer with fake servers.
+type world struct {
+	relayer  *Relayer
+	backends map[string]*backend
+}
+
+func newWorld(t *testing.T, routes []router.Route, names map[string][]string) *world {
+	w := &world{backends: map[string]*backend{}}
+	w.relayer = New(Config{
+		Zone: "z", Codec: codec{}, Budget: Budget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, Margin: 10 * time.Millisecond,
+		Log: log.New(io.Discard), Scope: tally.NoopScope,
+	})
+	var services []router.Service
+	var servers []registrar.Server
+	for service, list := range names {
+		services = append(services, router.Service{Name: service, Connections: 100})
+		for _, name := range list {
+			b := newBackend(t, service, name)
+			w.backends[name] = b
+			servers = append(servers, b.server)
+		}
+	}
+	table, err := router.New(1, routes, services, router.Limits{})
+	require.NoError(t, err)
+	w.relayer.Update(t.Context(), table, servers, 1)
+	return w
+}
+
+func (w *world) do(t *testing.T, path string) Answer {
+	return w.relayer.Do(t.Context(), Request{
+		ID: "id-" + t.Name(), Method: http.MethodGet, Target: path, Path: path, Host: "h", HostHeader: "h",
+		Header: http.Header{}, Received: time.Now(), Deadline: time.Now().Add(5 * time.Second),
+	})
+}
+
+func single(kind router.Kind) router.Route {
+	return router.Route{Name: "one", Host: "h", Prefix: "/", Kind: kind, Timeout: 2 * time.Second, Objective: 500 * time.Millisecond,
+		Attempts: 2, Targets: []router.Target{{Service: "s", Weight: 1}}}
+}
+
+func fanout(coverage float64) router.Route {
+	return router.Route{Name: "all", Host: "h", Prefix: "/", Kind: router.Safe, Timeout: time.Second, Objective: 200 * time.Millisecond,
+		Attempts: 2, Shards: []string{"s1", "s2", "s3", "s4"}, Top: 3, Coverage: coverage}
+}
+
+func shards(replicas int) map[string][]string {
+	m := map[string][]string{}
+	for i := range 4 {
+		service := fmt.Sprintf("s%d", i+1)
+		for j := range replicas {
+			m[service] = append(m[service], fmt.Sprintf("%s-%c", service, 'a'+j))
+		}
+	}
+	return m
+}
+
+// TestUnsafeOnce guards against an unsafe request that is sent again after a
+// server may have run it.
+func TestUnsafeOnce(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b"}})
+	for _, b := range w.backends {
+		b.set(crash)
+	}
+	a := w.do(t, "/x")
+	require.Equal(t, Broken, a.Reason)
+	require.False(t, a.Reason.NotRun())
+	require.EqualValues(t, 1, w.backends["a"].count.Load()+w.backends["b"].count.Load())
+}
+
+// TestUnsafeRefused guards against giving up an unsafe request that a server
+// has proved not to have run.
+func TestUnsafeRefused(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b"}})
+	w.backends["a"].set(refuse)
+	for range 3 {
+		a := w.do(t, "/x")
+		require.Equal(t, Served, a.Reason)
+		require.Contains(t, string(a.Body), "b")
+	}
+	w.backends["b"].set(refuse)
+	a := w.do(t, "/x")
+	require.Equal(t, Shed, a.Reason)
+	require.True(t, a.Reason.NotRun())
+	require.Positive(t, a.Retry)
+}
+
+// TestSafeRetry guards against a failure of one server that reaches the client.
+func TestSafeRetry(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a", "b"}})
+	w.backends["a"].set(crash)
+	for range 3 {
+		require.Equal(t, Served, w.do(t, "/x").Reason)
+	}
+}
+
+// TestFailurePassedOn guards against a failure that bears a server's signature
+// and another status than the server gave.
+func TestFailurePassedOn(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
+	w.backends["a"].set(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Stamp", "x")
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})
+	a := w.do(t, "/x")
+	require.Equal(t, Served, a.Reason)
+	require.Equal(t, http.StatusGatewayTimeout, a.Status)
+}
+
+// TestMisdirected guards against a server that keeps getting requests although
+// another one has its address.
+func TestMisdirected(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b"}})
+	w.backends["a"].set(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusMisdirectedRequest) })
+	for range 10 {
+		require.Equal(t, Served, w.do(t, "/x").Reason)
+	}
+	require.LessOrEqual(t, w.backends["a"].count.Load(), int64(1))
+}
+
+// TestComplete guards against parts that are lost or merged in the wrong order.
+func TestComplete(t *testing.T) {
+	w := newWorld(t, []router.Route{fanout(0.75)}, shards(1))
+	a := w.do(t, "/x")
+	require.Equal(t, Served, a.Reason)
+	require.Zero(t, a.Missing)
+	require.Len(t, a.Stamps, 4)
+	require.Equal(t, "s4-a............s3-a............s2-a............", string(a.Body))
+}
+
+// TestPartial guards against an answer that waits for one straggler beyond its
+// objective, and against a false count of missing shards.
+func TestPartial(t *testing.T) {
+	w := newWorld(t, []router.Route{fanout(0.75)}, shards(1))
+	w.backends["s2-a"].set(slow(800*time.Millisecond, part("s2-a")))
+	start := time.Now()
+	a := w.do(t, "/x")
+	require.Equal(t, Served, a.Reason)
+	require.Equal(t, 1, a.Missing)
+	require.Len(t, a.Stamps, 3)
+	require.NotContains(t, a.Stamps, "stamp-s2-a")
+	require.Less(t, time.Since(start), 400*time.Millisecond)
+}
+
+// TestTooFewParts guards against an answer with less coverage than the route
+// asks for.
+func TestTooFewParts(t *testing.T) {
+	w := newWorld(t, []router.Route{fanout(1)}, shards(1))
+	w.backends["s2-a"].set(crash)
+	a := w.do(t, "/x")
+	require.Equal(t, Broken, a.Reason)
+}
+
+// TestFailureIsNoPart guards against a failure with a signature that becomes a
+// part.
+func TestFailureIsNoPart(t *testing.T) {
+	w := newWorld(t, []router.Route{fanout(0.75)}, shards(1))
+	w.backends["s2-a"].set(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Stamp", "bad")
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	a := w.do(t, "/x")
+	require.Equal(t, Served, a.Reason)
+	require.Equal(t, 1, a.Missing)
+	require.NotContains(t, a.Stamps, "bad")
+}
+
+// TestHedge guards against a pausing server that makes every request late while
+// another replica is free.
+func TestHedge(t *testing.T) {
+	w := newWorld(t, []router.Route{fanout(1)}, shards(2))
+	w.backends["s1-a"].set(slow(time.Second, part("s1-a")))
+	w.backends["s1-b"].set(slow(5*time.Millisecond, part("s1-b")))
+	late := 0
+	for range 10 {
+		start := time.Now()
+		a := w.do(t, "/x")
+		require.Equal(t, Served, a.Reason)
+		if time.Since(start) > 200*time.Millisecond {
+			late++
+		}
+	}
+	require.Zero(t, late)
+}
+
+// TestDown guards against requests that find out whether a server is back.
+func TestDown(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
+	gone := w.backends["a"].server
+	gone.Address = netip.MustParseAddrPort("127.0.0.1:1")
+	table := w.relayer.Table()
+	w.relayer.Update(t.Context(), table, []registrar.Server{gone}, 1)
+	require.Equal(t, NoServer, w.do(t, "/x").Reason.orShed())
+	s := w.relayer.fleet.Load().servers["a"]
+	require.True(t, s.down.Load())
+	w.relayer.Update(t.Context(), table, []registrar.Server{w.backends["a"].server}, 1)
+	require.Equal(t, Served, w.do(t, "/x").Reason)
+}
+
+// orShed returns the same value for the two ways to say that no server could be
+// sent the request.
+func (r Reason) orShed() Reason {
+	if r == Shed {
+		return NoServer
+	}
+	return r
+}
+
+// TestNotReady guards against a 404 from a host that knows no table yet.
+func TestNotReady(t *testing.T) {
+	r := New(Config{Codec: codec{}, Log: log.New(io.Discard), Scope: tally.NoopScope})
+	require.Equal(t, NotReady, r.Do(t.Context(), Request{Received: time.Now()}).Reason)
+}
+
+// TestClientLeaves guards against work for a client that has gone.
+func TestClientLeaves(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
+	ended := make(chan struct{})
+	begun := make(chan struct{})
+	var once sync.Once
+	w.backends["a"].set(func(_ http.ResponseWriter, r *http.Request) {
+		once.Do(func() { close(begun) })
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-begun
+		cancel()
+	}()
+	a := w.relayer.Do(ctx, Request{ID: "1", Method: "GET", Target: "/", Path: "/", Host: "h", Header: http.Header{}, Received: time.Now()})
+	require.Equal(t, Left, a.Reason)
+	<-ended
+}
+
+// TestBudget guards against extra sends beyond what all hosts together are
+// allowed in any window, whatever the hosts ask for and while they join.
+func TestBudget(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Budget{Ratio: 0.2, Extra: rapid.IntRange(20, 200).Draw(t, "extra"), Window: window}
+		hosts := rapid.IntRange(1, 20).Draw(t, "hosts")
+		var fleet []*Relayer
+		for range hosts {
+			r := New(Config{Budget: limits})
+			r.hosts = hosts
+			fleet = append(fleet, r)
+		}
+		now := time.Unix(1000, 0)
+		type event struct {
+			at    time.Time
+			extra bool
+		}
+		var events []event
+		for range rapid.IntRange(10, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			r := fleet[rapid.IntRange(0, hosts-1).Draw(t, "host")]
+			b := r.budget(now, "s")
+			if rapid.Bool().Draw(t, "request") {
+				b.Earn()
+				events = append(events, event{now, false})
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "wanted") {
+				if b.Take() {
+					events = append(events, event{now, true})
+				}
+			}
+		}
+		for i, first := range events {
+			requests, extra := 0, 0
+			for _, e := range events[i:] {
+				if e.at.Sub(first.at) > window {
+					break
+				}
+				if e.extra {
+					extra++
+				} else {
+					requests++
+				}
+			}
+			// Hosts hold at least one token each, so that very many hosts may
+			// exceed a small allowance; the pages allow several for each host.
+			allowed := limits.Ratio*float64(requests) + max(float64(limits.Extra), float64(hosts))
+			require.LessOrEqual(t, float64(extra), allowed+1e-9, "from event "+strconv.Itoa(i))
+		}
+	})
+}
--- /dev/null
+++ b/internal/value/packer/main_test.go
@@ -0,0 +1,15 @@
+package packer
+
+import (
+	"os"
+	"testing"
+
+	"gentianpond/test/seeder"
+)
+
+// TestMain fixes seed and count of the property tests, so that a plain run is
+// repeatable; both can be given on the command line.
+func TestMain(m *testing.M) {
+	seeder.Fix(seeder.Values{Seed: 31006, Checks: 200})
+	os.Exit(m.Run())
+}
