--- a/cmd/gentianpond/main.go
+++ b/cmd/gentianpond/main.go
@@ -57,7 +57,7 @@
 	p.Version = version
 	commands := []command{
 		newEntry(), newControl(), newForm(), newDemo(), newCheck(), newApply(), newShow(), newStatus(),
-		newSearch(), newOrder(), newQuarantine(), newRelay(), newMember(),
+		newSearch(), newOrder(), newQuarantine(), newRelay(), newMember(), newExplain(),
 	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
--- a/internal/control/server/open_test.go
+++ b/internal/control/server/open_test.go
@@ -220,7 +220,9 @@
 	}
 	server.State, server.Sequence = registrar.Draining, 2
 	g.register(rest, server)
-	holds(func(s subscriber.Watched) bool { return len(s.Servers) == 1 && s.Servers[0].State == registrar.Draining })
+	holds(func(s subscriber.Watched) bool {
+		return len(s.Servers) == 1 && s.Servers[0].State == registrar.Draining
+	})
 	g.register(rest, registrar.Server{Name: "a", State: registrar.Gone})
 	holds(func(s subscriber.Watched) bool { return len(s.Servers) == 0 })
 }
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -84,6 +84,7 @@
 		Codec:  d.Codec,
 		Budget: relayer.Budget{Ratio: s.Ratio, Extra: s.Extra, Window: s.Window},
 		Margin: d.Margin,
+		Age:    func() time.Duration { return time.Since(f.watcher.State().At) },
 		Log:    logger,
 		Scope:  scope.SubScope("relay"),
 	})
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -64,6 +64,8 @@
 	results chan result
 	hedges  int
 	retries int
+	// out is the number of shards that were left out as congested.
+	out int
 }
 
 // shard is the state of one shard; a request to one server has one.
@@ -149,15 +151,17 @@
 	return q
 }
 
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.49.0 -type=cause -linecomment -output=cause_string.go
+
 // cause says why a request is sent.
 type cause uint8
 
 const (
-	first cause = iota
-	hedge
-	retry
+	first cause = iota // first
+	hedge              // hedge
+	retry              // retry
 	// reroute replaces a send that did not reach a server.
-	reroute
+	reroute // reroute
 )
 
 func (q *query) run(ctx context.Context) Answer {
@@ -207,13 +211,11 @@
 		share := r.gate(s.service).Share(q.route.Priority, q.fleet.table.Ranks())
 		if share < 1 && r.rand.Float64() >= share {
 			s.closed = true
+			q.out++
 			left--
 		}
 	}
-	if left < q.plan.Need {
-		return false
-	}
-	return true
+	return left >= q.plan.Need
 }
 
 // open returns the number of shards of which a part may still come.
@@ -285,6 +287,7 @@
 		s.closed = s.closed || why != hedge
 		return false
 	}
+	q.relayer.reportAgain(q, s, target, why)
 	s.tried = append(s.tried, target.Name)
 	s.sends++
 	s.attempts++
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -95,8 +95,10 @@
 	// Margin is how long before the objective an answer leaves this host: the
 	// time on the way from and to the client.
 	Margin time.Duration
-	Log    *log.Logger
-	Scope  tally.Scope
+	// Age returns how long ago control was last heard from; nil if unknown.
+	Age   func() time.Duration
+	Log   *log.Logger
+	Scope tally.Scope
 }
 
 // Relayer carries requests. Use New. It is safe for concurrent use.
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -24,7 +24,28 @@
 	}
 	r.config.Log.Warn("request not served plainly", "request", q.id, "route", q.route.Name, "reason", a.Reason, "status", a.Status,
 		"took", took, "objective", q.route.Objective, "late", late, "missing", a.Missing, "shards", len(q.shards),
-		"hedges", q.hedges, "retries", q.retries, "table", q.fleet.table.Version)
+		"out", q.out, "hedges", q.hedges, "retries", q.retries, "table", q.fleet.table.Version, "control", r.age())
+}
+
+// age returns how old what this host knows from control may be.
+func (r *Relayer) age() time.Duration {
+	if r.config.Age == nil {
+		return 0
+	}
+	return r.config.Age().Round(time.Millisecond)
+}
+
+// reportAgain logs a hedge or a retry.
+func (r *Relayer) reportAgain(q *query, s *shard, target *server, why cause) {
+	if why == first {
+		return
+	}
+	r.config.Scope.Tagged(map[string]string{"cause": why.String()}).Counter("extra_sends").Inc(1)
+	waited := time.Duration(0)
+	if !s.sent.IsZero() {
+		waited = time.Since(s.sent)
+	}
+	r.config.Log.Info("sent again", "request", q.id, "cause", why, "service", s.service, "server", target.Name, "waited", waited, "open", q.open())
 }
 
 func (r *Relayer) sampled() bool {
--- a/internal/settings/loader/loader_test.go
+++ b/internal/settings/loader/loader_test.go
@@ -19,9 +19,14 @@
 		var value any
 		var warnings []scanner.Fault
 		var err error
-		if d.Cmd == "entry" {
+		switch d.Cmd {
+		case "entry":
 			value, warnings, err = ParseEntry("file", []byte(d.Input))
-		} else {
+		case "relay":
+			value, err = ParseRelay("file", []byte(d.Input))
+		case "member":
+			value, err = ParseMember("file", []byte(d.Input))
+		default:
 			value, warnings, err = ParseControl("file", []byte(d.Input))
 		}
 		var out strings.Builder
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -89,9 +89,22 @@
 
 // run plays one seed for the given length in a folder.
 func run(binary, folder string, seed uint64, length time.Duration) (result, error) {
-	if err := os.MkdirAll(folder, 0o700); err != nil {
+	s, err := start(binary, folder, seed)
+	if err != nil {
 		return result{}, err
 	}
+	defer s.close()
+	s.play(length)
+	s.recover()
+	s.check()
+	return result{complaints: s.complaints, asked: s.asked.Load(), served: s.served.Load(), versions: s.version.Load()}, nil
+}
+
+// start starts the processes and backend servers of a run.
+func start(binary, folder string, seed uint64) (*soak, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
 	s := &soak{
 		seed: seed, rand: rand.New(rand.NewPCG(seed, 7)), proxies: map[*standin.Backend]*standin.Proxy{},
 		services: map[string]string{}, outcomes: map[string]order{},
@@ -99,26 +112,23 @@
 	network := byte(30 + seed%200)
 	port := 10000 + int((seed*13+uint64(os.Getpid()))%5000)*4
 	system, err := standin.Start(binary, folder, network, port, members, relays)
-	defer system.Stop()
+	s.system = system
 	if err != nil {
-		return result{}, err
+		system.Stop()
+		return nil, err
 	}
-	s.system = system
 	s.operator.Control = system.Control
 	for _, service := range append([]string{standin.Orders}, standin.Shards...) {
 		for range replicas {
 			s.addBackend(service)
 		}
 	}
-	defer s.closeBackends()
 	s.publish(0)
 	if !system.WaitReady(readyLimit) {
-		return result{}, fmt.Errorf("seed %d: the system is not ready after %s, logs in %s", seed, readyLimit, folder)
+		s.close()
+		return nil, fmt.Errorf("seed %d: the system is not ready after %s, logs in %s", seed, readyLimit, folder)
 	}
-	s.play(length)
-	s.recover()
-	s.check()
-	return result{complaints: s.complaints, asked: s.asked.Load(), served: s.served.Load(), versions: s.version.Load()}, nil
+	return s, nil
 }
 
 // play runs clients, the operator and faults side by side.
@@ -239,7 +249,8 @@
 	return b
 }
 
-func (s *soak) closeBackends() {
+func (s *soak) close() {
+	s.system.Stop()
 	for _, b := range s.backends {
 		b.Crash()
 		s.proxies[b].Close()
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/test/standin"
+)
+
+// shortLength is the time with faults for each seed in a plain test run.
+const shortLength = 4 * time.Second
+
+// TestSeeds guards against faults that the soak found before: each line of the
+// file is a seed that failed once, with its cause, or one that CI plays always.
+func TestSeeds(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	root := t.TempDir()
+	binary, err := standin.Build(root)
+	require.NoError(t, err)
+	f, err := os.Open("testdata/seeds")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, f.Close()) }()
+	for s := bufio.NewScanner(f); s.Scan(); {
+		text, _, _ := strings.Cut(s.Text(), "#")
+		if text = strings.TrimSpace(text); text == "" {
+			continue
+		}
+		seed, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		r, err := run(binary, folderOf(root, seed), seed, shortLength)
+		require.NoError(t, err)
+		require.Empty(t, r.complaints, "seed %d", seed)
+		require.Positive(t, r.served, "seed %d", seed)
+	}
+}
+
+// TestRolling guards against planned stops that cut requests: relays are stopped
+// and started in turn while clients, which keep their connections, go to the
+// ready ones.
+func TestRolling(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	root := t.TempDir()
+	binary, err := standin.Build(root)
+	require.NoError(t, err)
+	s, err := start(binary, folderOf(root, 90), 90)
+	require.NoError(t, err)
+	defer s.close()
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	for n := range clients {
+		group.Go(func() { s.roll(t, n, stop) })
+	}
+	for _, p := range s.system.Relays {
+		require.NoError(t, p.Signal(syscall.SIGTERM))
+		require.True(t, p.Wait(stopLimit), "%s did not end by itself", p.Name)
+		require.NoError(t, p.Restart())
+		require.True(t, s.system.WaitReady(readyLimit))
+	}
+	close(stop)
+	group.Wait()
+	require.Empty(t, s.complaints)
+	require.Positive(t, s.served.Load())
+}
+
+// roll sends requests to ready relays; every one that was sent has to be served.
+func (s *soak) roll(t *testing.T, number int, stop chan struct{}) {
+	var hosts []*standin.Client
+	for _, address := range s.system.Entry {
+		hosts = append(hosts, &standin.Client{Address: address, Servers: s.service})
+	}
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		relay := n % len(hosts)
+		if !s.system.IsReady(relay) {
+			continue
+		}
+		id := fmt.Sprintf("roll-%d-%d", number, n)
+		o := hosts[relay].Search(id, "x")
+		if !o.Served && !o.Unsent {
+			t.Errorf("request %s: status %d %s", id, o.Status, o.Complaint)
+		}
+		s.served.Add(1)
+	}
+}
--- a/test/standin/client.go
+++ b/test/standin/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -21,6 +23,8 @@
 	// wrong one.
 	Served    bool
 	Complaint string
+	// Unsent is true when no connection could be opened.
+	Unsent bool
 }
 
 // Client sends requests to one relay and checks the answers.
@@ -82,6 +86,8 @@
 	c.http.Timeout = 2500 * time.Millisecond
 	res, err := c.http.Do(r)
 	if err != nil {
+		var op *net.OpError
+		o.Unsent = errors.As(err, &op) && op.Op == "dial"
 		return o, nil, nil
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -167,12 +167,18 @@
 // Logs returns the folder of the processes' output.
 func (s *System) Logs() string { return s.folder }
 
+// IsReady asks one relay as the load balancer does.
+func (s *System) IsReady(relay int) bool {
+	status, _ := Call(http.MethodGet, "http://"+s.Ready[relay]+"/v1/readiness", nil, time.Second)
+	return status == http.StatusOK
+}
+
 // WaitReady waits until all relays are ready, and reports whether they are.
 func (s *System) WaitReady(limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
-		for _, a := range s.Ready {
-			if status, _ := Call(http.MethodGet, "http://"+a+"/v1/readiness", nil, time.Second); status == http.StatusOK {
+		for i := range s.Ready {
+			if s.IsReady(i) {
 				ready++
 			}
 		}
