Size the time on the way by the host's share of a core

Cause: on hosts with 0.192 cores partial answers left 3 ms before the objective and most came just late.

--- a/internal/host/forwarder/way.go
+++ b/internal/host/forwarder/way.go
@@ -13,9 +13,10 @@
 	"gentianpond/internal/route/router"
 )
 
-// processing is the part of the time on the way that this host and the client's
-// machine need themselves.
-const processing = 3 * time.Millisecond
+// processing is the processor time that stands between an answer that is due and
+// its last byte, on a whole core: the parts that arrive together with the due
+// time are read first. A host with a fifth of a core needs five times as long.
+const processing = 1700 * time.Microsecond
 
 // clientConn is one connection of a client.
 type clientConn struct {
@@ -32,8 +33,9 @@
 
 // way returns the time that a request and its answer spend on the way: one round
 // trip, and one more if the client opened the connection for it. It is the
-// default where the round trip is not known.
-func (c *clientConn) way(def time.Duration) time.Duration {
+// default where the round trip is not known, and never more. Share is the part of
+// a core that this host has.
+func (c *clientConn) way(def time.Duration, share float64) time.Duration {
 	rtt, ok := roundTrip(c.conn)
 	if !ok {
 		return def
@@ -41,7 +43,7 @@
 	if c.requests.Add(1) == 1 {
 		rtt *= 2
 	}
-	return min(rtt+processing, def)
+	return min(rtt+time.Duration(float64(processing)/share), def)
 }
 
 // roundTrip returns the kernel's estimate for a connection.
@@ -69,7 +71,7 @@
 // Do carries a request.
 func (e entry) Do(ctx context.Context, r relayer.Request) relayer.Answer {
 	if c, ok := ctx.Value(clientKey{}).(*clientConn); ok {
-		r.Way = c.way(e.dialect.Margin)
+		r.Way = c.way(e.dialect.Margin, e.settings.Share)
 	}
 	return e.relayer.Do(ctx, r)
 }
--- a/internal/settings/loader/open.go
+++ b/internal/settings/loader/open.go
@@ -18,6 +18,9 @@
 	maxLosses = 16
 	// maxExtra bounds the extra sends that a budget allows without requests.
 	maxExtra = 1 << 20
+	// minShare and maxShare bound the part of a core that a host has.
+	minShare = 0.01
+	maxShare = 1024
 )
 
 // Relay holds the settings of an entry host that relays the requests of a
@@ -38,6 +41,8 @@
 	Ratio  float64
 	Extra  int
 	Window time.Duration
+	// Share is the part of a core that the host has; 1 when it is not given.
+	Share float64
 	// Metrics is the address of the metrics page; none means no page.
 	Metrics netip.AddrPort
 }
@@ -82,8 +87,8 @@
 // ParseRelay is ReadRelay for a text; name is used in errors only.
 func ParseRelay(name string, text []byte) (Relay, error) {
 	s, root := scanner.Parse(name, text)
-	r := Relay{Grace: DefaultGrace}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "window", "metrics"); ok {
+	r := Relay{Grace: DefaultGrace, Share: 1}
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "window", "share", "metrics"); ok {
 		var used addresses
 		r.Name = needName(o, "name")
 		r.Zone = needName(o, "zone")
@@ -96,6 +101,9 @@
 		if n, ok := o.Field("grace"); ok {
 			r.Grace, _ = n.Duration(time.Second, maxDrain)
 		}
+		if n, ok := o.Field("share"); ok {
+			r.Share, _ = n.Float(minShare, maxShare)
+		}
 		if n, ok := o.Field("metrics"); ok {
 			r.Metrics, _ = n.Address()
 		}
