--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -157,6 +157,10 @@
 		}
 		body, err := readBody(res)
 		if err != nil {
+			// The connection ends; closing the body would first read the rest.
+			return nil, false, errors.Join(ErrBroken, err)
+		}
+		if err := res.Body.Close(); err != nil {
 			return nil, false, errors.Join(ErrBroken, err)
 		}
 		if r.Own != nil && !r.Own(res.Header) && !res.Close && skipped < maxSkipped {
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -182,22 +182,29 @@
 	}
 }
 
+// CloseIdle closes the connections that no request is using.
+func (p *Pool) CloseIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
 // Close closes the idle connections and refuses further requests. Those in
 // flight go on.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	idle := p.idle
-	p.idle = nil
-	p.open -= len(idle)
 	for _, w := range p.queue {
 		close(w)
 	}
 	p.queue = nil
 	p.mu.Unlock()
-	for _, c := range idle {
-		c.close()
-	}
+	p.CloseIdle()
 }
 
 // Do sends a request once and reads the answer. It ends with ctx, which closes
--- /dev/null
+++ b/internal/route/relayer/end.go
@@ -0,0 +1,60 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"gentianpond/internal/route/ranker"
+)
+
+// reply returns the parts in hand.
+func (q *query) reply() Answer {
+	if !q.route.Fanout() {
+		res := q.shards[0].part.response
+		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
+	}
+	a := Answer{Status: http.StatusOK}
+	var bodies [][]byte
+	for i := range q.shards {
+		part := q.shards[i].part
+		if part == nil {
+			a.Missing++
+			continue
+		}
+		a.Stamps = append(a.Stamps, part.note.Stamp)
+		bodies = append(bodies, part.response.Body)
+	}
+	a.Body = ranker.Greatest(bodies, q.route.Top)
+	return a
+}
+
+// fail returns why there is no answer.
+func (q *query) fail(ctx context.Context) Answer {
+	ran, tried := false, false
+	for i := range q.shards {
+		s := &q.shards[i]
+		ran = ran || s.sends > 0
+		tried = tried || s.attempts > 0
+	}
+	if !q.route.Fanout() && q.shards[0].failure != nil {
+		res := q.shards[0].failure
+		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
+	}
+	switch {
+	case ran && (ctx.Err() != nil || !time.Now().Before(q.limit)):
+		return Answer{Reason: TimedOut}
+	case ran:
+		return Answer{Reason: Broken}
+	case tried:
+		return Answer{Reason: Shed, Retry: q.relayer.retryAfter()}
+	}
+	return Answer{Reason: NoServer, Retry: q.relayer.retryAfter()}
+}
+
+// retryAfter spreads the return of refused clients.
+func (r *Relayer) retryAfter() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return retryLeast + time.Duration(r.rand.Int64N(int64(2*retryLeast)))
+}
--- /dev/null
+++ b/internal/route/relayer/fleet.go
@@ -0,0 +1,131 @@
+package relayer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/route/router"
+	"gentianpond/internal/search/selector"
+)
+
+// fleet is the routing table with the servers of each service. It does not
+// change once it is in use.
+type fleet struct {
+	table    *router.Table
+	servers  map[string]*server
+	services map[string]members
+}
+
+// members are the servers of a service: those to use, and those to use where
+// there is no other.
+type members struct {
+	ready  []string
+	silent []string
+}
+
+func newFleet(table *router.Table) *fleet {
+	return &fleet{table: table, servers: map[string]*server{}, services: map[string]members{}}
+}
+
+// server is one incarnation of one backend server.
+type server struct {
+	registrar.Server
+	pool *connector.Pool
+	// misdirected is set once another server was found at the address.
+	misdirected atomic.Bool
+	// down is set after a connection could not be opened, until one can be.
+	down atomic.Bool
+	// load is the load that the server told last.
+	load atomic.Pointer[toldLoad]
+}
+
+// toldLoad is a load with the time when it was heard.
+type toldLoad struct {
+	Load
+	at time.Time
+}
+
+// loadMemory is how long a reported load counts. Every host hears from a server
+// several times a second.
+const loadMemory = time.Second
+
+// congested reports whether all other servers of a service had requests waiting
+// for every slot when they last told their load. As long as one has not, the
+// requests are better sent there.
+func (f *fleet) congested(now time.Time, but *server) bool {
+	for _, name := range f.services[but.Service].ready {
+		s := f.servers[name]
+		if s == but || s.misdirected.Load() {
+			continue
+		}
+		l := s.load.Load()
+		if l == nil || now.Sub(l.at) > loadMemory || l.Waiting < l.Slots {
+			return false
+		}
+	}
+	return true
+}
+
+// adopt adds a server of the registry to the next fleet. The lock is held.
+func (r *Relayer) adopt(ctx context.Context, old, next *fleet, s registrar.Server) {
+	if s.State == registrar.Gone {
+		return
+	}
+	current, ok := old.servers[s.Name]
+	limit := r.connections(next.table, s.Service)
+	if ok && current.Incarnation == s.Incarnation && current.Address == s.Address {
+		current.pool.Resize(limit)
+		if current.State != s.State || current.Slots != s.Slots {
+			changed := &server{Server: s, pool: current.pool}
+			changed.misdirected.Store(current.misdirected.Load())
+			if current.down.Load() {
+				r.takeDown(ctx, changed)
+			}
+			changed.load.Store(current.load.Load())
+			current = changed
+		}
+	} else {
+		if ok {
+			current.pool.Close()
+		}
+		current = &server{Server: s, pool: connector.New(s.Address, limit)}
+		r.selector.Update(r.described(s))
+		if s.Zone == r.config.Zone && s.State == registrar.Ready {
+			go current.pool.Warm(ctx)
+		}
+	}
+	next.servers[s.Name] = current
+	m := next.services[s.Service]
+	switch s.State {
+	case registrar.Ready:
+		m.ready = append(m.ready, s.Name)
+	case registrar.Silent:
+		m.silent = append(m.silent, s.Name)
+	}
+	next.services[s.Service] = m
+}
+
+// described returns what the selector needs to know of a server. A cold server
+// is warm once the time that it announced is over.
+func (r *Relayer) described(s registrar.Server) selector.Server {
+	d := selector.Server{Name: s.Name, Zone: s.Zone, Incarnation: s.Incarnation, Slots: s.Slots}
+	if s.Cold > 0 {
+		d.Started = selector.WarmAt(time.Now().Add(s.Cold))
+	}
+	return d
+}
+
+// connections is this host's share of the connections that a server takes.
+func (r *Relayer) connections(table *router.Table, service string) int {
+	if table == nil {
+		return 1
+	}
+	s, ok := table.Service(service)
+	if !ok || s.Connections <= 0 {
+		return 1
+	}
+	return max(1, int(connectionShare*float64(s.Connections)/float64(r.hosts)))
+}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/route/gatherer"
-	"gentianpond/internal/route/ranker"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/caller"
 )
@@ -195,7 +195,7 @@
 			q.handle(ctx, res)
 		case <-timer.C:
 		case <-ctx.Done():
-			if context.Cause(ctx) != context.DeadlineExceeded {
+			if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 				return Answer{Reason: Left}
 			}
 		}
@@ -248,133 +248,6 @@
 	return until
 }
 
-// hedgeable reports whether a shard may get a hedge once it is late.
-func (q *query) hedgeable(s *shard) bool {
-	return q.route.Kind == router.Safe && s.part == nil && s.flying == 1 && !s.hedged && s.sends < q.route.Attempts
-}
-
-func (q *query) hedgeDelay() time.Duration {
-	r := q.relayer
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.hedger(q.route).DelayBefore(time.Now(), q.plan.Aim.Sub(q.plan.Start))
-}
-
-// hedge sends another request for each shard that is late.
-func (q *query) hedge(ctx context.Context, now time.Time) {
-	delay := q.hedgeDelay()
-	for i := range q.shards {
-		s := &q.shards[i]
-		if !q.hedgeable(s) || now.Before(s.due(delay)) {
-			continue
-		}
-		s.hedged = q.launch(ctx, i, hedge)
-		s.hedgeAt = now.Add(hedgePause)
-	}
-}
-
-// due returns when the shard gets a hedge.
-func (s *shard) due(delay time.Duration) time.Time {
-	at := s.sent.Add(delay)
-	if s.hedgeAt.After(at) {
-		return s.hedgeAt
-	}
-	return at
-}
-
-// launch chooses a server and sends the request to it, and reports whether it
-// did. Without a server or a budget the shard is closed, unless this is a hedge.
-func (q *query) launch(ctx context.Context, i int, why cause) bool {
-	s := &q.shards[i]
-	target := q.choose(s, why)
-	if target == nil {
-		s.closed = s.closed || why != hedge
-		return false
-	}
-	q.relayer.reportAgain(q, s, target, why)
-	s.tried = append(s.tried, target.Name)
-	s.sends++
-	s.attempts++
-	s.flying++
-	s.sent = time.Now()
-	switch why {
-	case hedge:
-		q.hedges++
-	case retry:
-		q.retries++
-	}
-	go q.send(ctx, i, target)
-	return true
-}
-
-// choose picks a server and takes the budget for it.
-func (q *query) choose(s *shard, why cause) *server {
-	r := q.relayer
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	budget := r.budget(time.Now(), s.service)
-	if why == first {
-		budget.Earn()
-	}
-	target := r.pick(q.fleet, s.service, s.tried)
-	if target == nil {
-		return nil
-	}
-	switch why {
-	case hedge:
-		if !budget.TakeAbove(q.reserve(s, r.burst())) {
-			return nil
-		}
-	case retry:
-		if !budget.Take() {
-			return nil
-		}
-	}
-	r.selector.Started(target.Name, target.Incarnation)
-	return target
-}
-
-// lateHedge is the share of the time until an answer has to leave after which a
-// shard that is still open counts as a straggler.
-const lateHedge = 0.4
-
-// reserve returns how much of a budget of size burst a hedge leaves untouched.
-// Hosts of a large fleet have little of it: what there is goes to shards without
-// which there is no answer in time, and failures have to find a budget too.
-func (q *query) reserve(s *shard, burst float64) float64 {
-	late := time.Since(s.sent) >= time.Duration(lateHedge*float64(q.plan.Aim.Sub(q.plan.Start)))
-	if late && q.open() > q.plan.Shards-q.plan.Need {
-		return 0
-	}
-	// A budget that is full earns nothing more, and may as well be used.
-	return min(burst/2, burst-1)
-}
-
-// pick returns the best server of a service that was not tried: one that is up,
-// else one that is silent, else one that is down. The lock is held.
-func (r *Relayer) pick(f *fleet, service string, tried []string) *server {
-	m := f.services[service]
-	now := time.Now()
-	for _, step := range []struct {
-		names []string
-		down  bool
-	}{{m.ready, false}, {m.silent, false}, {m.ready, true}, {m.silent, true}} {
-		excluded := tried
-		for {
-			name, ok := r.selector.Choose(now, r.rand, step.names, excluded)
-			if !ok {
-				break
-			}
-			s := f.servers[name]
-			if !s.misdirected.Load() && s.down.Load() == step.down {
-				return s
-			}
-			excluded = append(slices.Clone(excluded), name)
-		}
-	}
-	return nil
-}
-
 // handle takes the end of one send.
 func (q *query) handle(ctx context.Context, res result) {
 	s := &q.shards[res.shard]
@@ -428,54 +301,3 @@
 	}
 	q.launch(ctx, res.shard, why)
 }
-
-// reply returns the parts in hand.
-func (q *query) reply() Answer {
-	if !q.route.Fanout() {
-		res := q.shards[0].part.response
-		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
-	}
-	a := Answer{Status: http.StatusOK}
-	var bodies [][]byte
-	for i := range q.shards {
-		part := q.shards[i].part
-		if part == nil {
-			a.Missing++
-			continue
-		}
-		a.Stamps = append(a.Stamps, part.note.Stamp)
-		bodies = append(bodies, part.response.Body)
-	}
-	a.Body = ranker.Greatest(bodies, q.route.Top)
-	return a
-}
-
-// fail returns why there is no answer.
-func (q *query) fail(ctx context.Context) Answer {
-	ran, tried := false, false
-	for i := range q.shards {
-		s := &q.shards[i]
-		ran = ran || s.sends > 0
-		tried = tried || s.attempts > 0
-	}
-	if !q.route.Fanout() && q.shards[0].failure != nil {
-		res := q.shards[0].failure
-		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
-	}
-	switch {
-	case ran && (ctx.Err() != nil || !time.Now().Before(q.limit)):
-		return Answer{Reason: TimedOut}
-	case ran:
-		return Answer{Reason: Broken}
-	case tried:
-		return Answer{Reason: Shed, Retry: q.relayer.retryAfter()}
-	}
-	return Answer{Reason: NoServer, Retry: q.relayer.retryAfter()}
-}
-
-// retryAfter spreads the return of refused clients.
-func (r *Relayer) retryAfter() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return retryLeast + time.Duration(r.rand.Int64N(int64(2*retryLeast)))
-}
--- a/test/standin/client.go
+++ b/test/standin/client.go
@@ -37,11 +37,11 @@
 
 // Search sends a fan-out.
 func (c *Client) Search(id, path string) Outcome {
-	o, res, body := c.do(http.MethodGet, id, SearchHost, "/s/"+path)
-	if res == nil || res.StatusCode != http.StatusOK {
+	o, header, body := c.do(http.MethodGet, id, SearchHost, "/s/"+path)
+	if o.Status != http.StatusOK {
 		return o
 	}
-	o.Complaint = c.checkSearch(id, "/s/"+path, res, body)
+	o.Complaint = c.checkSearch(id, "/s/"+path, header, body)
 	o.Served = o.Complaint == ""
 	return o
 }
@@ -53,11 +53,11 @@
 func (c *Client) Order(id, path string) Outcome { return c.one(http.MethodPost, id, "/o/"+path) }
 
 func (c *Client) one(method, id, path string) Outcome {
-	o, res, body := c.do(method, id, OrderHost, path)
-	if res == nil || res.StatusCode != http.StatusOK {
+	o, header, body := c.do(method, id, OrderHost, path)
+	if o.Status != http.StatusOK {
 		return o
 	}
-	stamp := res.Header.Get("X-Response-Stamp")
+	stamp := header.Get("X-Response-Stamp")
 	server := ServerOf(stamp)
 	switch {
 	case stamp != Signature(server, id):
@@ -71,7 +71,7 @@
 	return o
 }
 
-func (c *Client) do(method, id, host, path string) (Outcome, *http.Response, []byte) {
+func (c *Client) do(method, id, host, path string) (Outcome, http.Header, []byte) {
 	o := Outcome{ID: id}
 	r, err := http.NewRequest(method, "http://"+c.Address+path, nil)
 	if err != nil {
@@ -96,14 +96,14 @@
 		return o, nil, nil
 	}
 	o.Status = res.StatusCode
-	return o, res, body
+	return o, res.Header, body
 }
 
 // checkSearch checks signatures, coverage and records of a fan-out.
-func (c *Client) checkSearch(id, path string, res *http.Response, body []byte) string {
+func (c *Client) checkSearch(id, path string, header http.Header, body []byte) string {
 	var services []string
 	var parts [][]byte
-	for _, stamp := range strings.Split(res.Header.Get("X-Part-Stamps"), ",") {
+	for _, stamp := range strings.Split(header.Get("X-Part-Stamps"), ",") {
 		stamp = strings.TrimSpace(stamp)
 		server := ServerOf(stamp)
 		if stamp != Signature(server, id) {
@@ -116,9 +116,9 @@
 		services = append(services, service)
 		parts = append(parts, Records(service, path))
 	}
-	missing, err := strconv.Atoi(res.Header.Get("X-Missing-Parts"))
+	missing, err := strconv.Atoi(header.Get("X-Missing-Parts"))
 	if err != nil || missing+len(services) != len(Shards) {
-		return fmt.Sprintf("%d parts and %q missing of %d", len(services), res.Header.Get("X-Missing-Parts"), len(Shards))
+		return fmt.Sprintf("%d parts and %q missing of %d", len(services), header.Get("X-Missing-Parts"), len(Shards))
 	}
 	if float64(len(services)) < Least*float64(len(Shards)) {
 		return fmt.Sprintf("only %d parts", len(services))
--- a/test/standin/proxy.go
+++ b/test/standin/proxy.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -125,7 +126,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				_ = to.Close()
 			}
 			return
--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -22,7 +22,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	done    chan error
+	// done gets true if the process ended without an error.
+	done chan bool
 }
 
 // System is a small system on loopback addresses.
@@ -114,8 +115,8 @@
 	if err := p.command.Start(); err != nil {
 		return err
 	}
-	p.done = make(chan error, 1)
-	go func(c *exec.Cmd, done chan error) { done <- c.Wait() }(p.command, p.done)
+	p.done = make(chan bool, 1)
+	go func(c *exec.Cmd, done chan bool) { done <- c.Wait() == nil }(p.command, p.done)
 	return nil
 }
 
@@ -143,8 +144,8 @@
 	done, process := p.done, p.command.Process
 	p.mu.Unlock()
 	select {
-	case err := <-done:
-		return err == nil
+	case clean := <-done:
+		return clean
 	case <-time.After(limit):
 		_ = process.Kill()
 		<-done
