Send nothing to servers that are down until a connection was opened

Cause: with all servers of a shard without power, requests waited for three dial timeouts in a row and were late although the shard could be left out.

--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -110,23 +110,21 @@
 	return min(burst/2, burst-1)
 }
 
-// pick returns the best server of a service that was not tried: one that is up,
-// else one that is silent, else one that is down. The lock is held.
+// pick returns the best server of a service that was not tried: one that checks
+// in, else one that is silent. Servers that are down get nothing until a
+// connection to them was opened; waiting for one would only make the answer late.
+// The lock is held.
 func (r *Relayer) pick(f *fleet, service string, tried []string) *server {
 	m := f.services[service]
 	now := time.Now()
-	for _, step := range []struct {
-		names []string
-		down  bool
-	}{{m.ready, false}, {m.silent, false}, {m.ready, true}, {m.silent, true}} {
+	for _, names := range [][]string{m.ready, m.silent} {
 		excluded := tried
 		for {
-			name, ok := r.selector.Choose(now, r.rand, step.names, excluded)
+			name, ok := r.selector.Choose(now, r.rand, names, excluded)
 			if !ok {
 				break
 			}
-			s := f.servers[name]
-			if !s.misdirected.Load() && s.down.Load() == step.down {
+			if s := f.servers[name]; !s.misdirected.Load() && !s.down.Load() {
 				return s
 			}
 			excluded = append(slices.Clone(excluded), name)
--- a/internal/route/relayer/down.go
+++ b/internal/route/relayer/down.go
@@ -9,7 +9,7 @@
 	// downFirst and downMost bound the pause between two attempts to connect to a
 	// server that is down.
 	downFirst = 100 * time.Millisecond
-	downMost  = time.Second
+	downMost  = 500 * time.Millisecond
 )
 
 // takeDown keeps requests away from a server to which no connection could be
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -281,6 +281,9 @@
 	require.Equal(t, NoServer, w.do(t, "/x").Reason.orShed())
 	s := w.relayer.fleet.Load().servers["a"]
 	require.True(t, s.down.Load())
+	start := time.Now()
+	require.Equal(t, NoServer, w.do(t, "/x").Reason, "nothing is sent to a server that is down")
+	require.Less(t, time.Since(start), 50*time.Millisecond)
 	w.relayer.Update(t.Context(), table, []registrar.Server{w.backends["a"].server}, 1)
 	require.Equal(t, Served, w.do(t, "/x").Reason)
 }
--- a/test/e2e/system_test.go
+++ b/test/e2e/system_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io/fs"
 	"net"
 	"net/http"
 	"net/netip"
@@ -25,6 +24,7 @@
 
 	"gentianpond/internal/host/gateway"
 	"gentianpond/test/fakes/searcher"
+	"gentianpond/test/standin"
 )
 
 // startTimeout bounds the wait for a condition that has no bound of its own.
@@ -35,19 +35,6 @@
 
 func TestMain(m *testing.M) { os.Exit(build(m)) }
 
-// touch stats every source file of the programs. go test counts files that a
-// test stats as its inputs; without this it would take a result from its cache
-// after a change that only the built programs contain. It has to be called by
-// a test: what TestMain does before it runs the tests does not count.
-func touch() error {
-	return filepath.WalkDir(filepath.Join("..", ".."), func(path string, d fs.DirEntry, err error) error {
-		if err == nil && filepath.Ext(path) == ".go" {
-			_, err = os.Stat(path)
-		}
-		return err
-	})
-}
-
 func build(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "gentianpond-e2e-")
 	if err != nil {
@@ -144,7 +131,7 @@
 // waits until a search covers every shard.
 func newSystem(t *testing.T, s shape) *system {
 	t.Helper()
-	require.NoError(t, touch())
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
 	y := &system{t: t, dir: t.TempDir()}
 	ports := freePorts(t, 2*s.control+2*s.entries+s.shards*s.replicas)
 	take := func(n int) []netip.AddrPort {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
 	root := t.TempDir()
 	binary, err := standin.Build(root)
 	require.NoError(t, err)
@@ -52,6 +54,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
 	root := t.TempDir()
 	binary, err := standin.Build(root)
 	require.NoError(t, err)
--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
@@ -37,6 +38,19 @@
 	folder  string
 }
 
+// TrackSources stats every source file below root. go test counts files that a
+// test stats as its inputs; without this it would take a result from its cache
+// after a change that only the built programs contain. It has to be called by a
+// test: what TestMain does before it runs the tests does not count.
+func TrackSources(root string) error {
+	return filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && filepath.Ext(path) == ".go" {
+			_, err = os.Stat(path)
+		}
+		return err
+	})
+}
+
 // Build builds the program into a folder and returns its path.
 func Build(folder string) (string, error) {
 	binary := filepath.Join(folder, "gentianpond")
