--- a/internal/search/caller/caller_test.go
+++ b/internal/search/caller/caller_test.go
@@ -169,7 +169,8 @@
 	c := caller.New(f.Addr(), 3)
 	defer c.Close()
 	c.Warm(t.Context(), 3)
-	opened := f.Stats().Opened
+	// The server counts a connection only when it accepts it, after the handshake.
+	require.Eventually(t, func() bool { return f.Stats().Opened == 3 }, 5*time.Second, time.Millisecond)
 	require.Equal(t, caller.Answered, c.Call(t.Context(), caller.SearchPath, message(f, 1)).Status)
-	require.Equal(t, opened, f.Stats().Opened)
+	require.EqualValues(t, 3, f.Stats().Opened)
 }
