Remove parts that nothing uses and a second copy of a limit

The quarantine's revision in a watch was never sent by entry hosts; with a revision above 0 every watch would have been answered at once. Pool.Busy, ErrStale and two small functions had no callers. The size of a routing document is one constant of the inner protocol.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -32,8 +32,6 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	until  time.Time
-	// kept is set once the connection was idle.
-	kept bool
 }
 
 func newConn(raw net.Conn) *conn {
@@ -140,9 +138,6 @@
 // keeps the connection.
 func (c *conn) read(r *Request) (*Response, bool, error) {
 	if _, err := c.reader.Peek(1); err != nil {
-		if c.kept {
-			err = errors.Join(ErrStale, err)
-		}
 		return nil, false, errors.Join(ErrBroken, err)
 	}
 	request := &http.Request{Method: r.Method}
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -49,9 +49,6 @@
 	// ErrBroken means that the connection ended or carried something that is no
 	// answer after the request had left. The server may have run it.
 	ErrBroken = errors.New("connection broke after the request was sent")
-	// ErrStale means that a kept connection ended before any byte of an answer.
-	// It comes with ErrBroken.
-	ErrStale = errors.New("kept connection had ended")
 	// ErrClosed means that the pool was closed. It comes with ErrUnsent.
 	ErrClosed = errors.New("pool is closed")
 )
@@ -121,13 +118,6 @@
 	p.limit = max(limit, 1)
 }
 
-// Busy reports whether a request would have to wait for a connection.
-func (p *Pool) Busy() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle) == 0 && p.open >= p.limit
-}
-
 // Warm opens a connection unless there is one. Failures show at the first
 // request.
 func (p *Pool) Warm(ctx context.Context) {
@@ -322,7 +312,6 @@
 		p.mu.Unlock()
 		return
 	}
-	c.kept = true
 	p.idle = append(p.idle, c)
 	p.wake()
 	p.mu.Unlock()
--- a/internal/control/server/relay.go
+++ b/internal/control/server/relay.go
@@ -16,10 +16,6 @@
 	"gentianpond/internal/value/packer"
 )
 
-// MaxDocument is the largest routing document in bytes. Packed, it fits into one
-// record of the log.
-const MaxDocument = 8 << 20
-
 const (
 	// relayLimit bounds a request that came to this host, wherever the leader is.
 	// Callers give a host one second.
@@ -171,7 +167,7 @@
 	if err != nil || reply.GetVersion() == 0 {
 		return 0, nil, err
 	}
-	text, err = packer.Unpack(reply.GetPacked(), MaxDocument)
+	text, err = packer.Unpack(reply.GetPacked(), messenger.MaxDocument)
 	return reply.GetVersion(), text, err
 }
 
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -90,7 +90,7 @@
 // news reports whether the host lacks anything.
 func (l *loop) news(r *messenger.WatchRequest) bool {
 	version, _ := l.keeper.Routing()
-	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().Last() || r.GetQuarantine() < l.keeper.Quarantine()
+	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().Last()
 }
 
 func (l *loop) watchReply(now time.Duration, r *messenger.WatchRequest) *messenger.WatchReply {
@@ -112,9 +112,5 @@
 			reply.Registrations = append(reply.Registrations, s.Message())
 		}
 	}
-	reply.Quarantine = l.keeper.Quarantine()
-	if r.GetQuarantine() < reply.Quarantine {
-		reply.Suspects = l.keeper.Suspects()
-	}
 	return reply
 }
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -38,8 +38,6 @@
 	loadTime = 3 * time.Second
 	// watchPause is the least time between two watches.
 	watchPause = 20 * time.Millisecond
-	// maxDocument is the largest routing document in bytes.
-	maxDocument = 8 << 20
 )
 
 // Watched is what an entry host knows of the routing document and the registry.
@@ -236,7 +234,7 @@
 	next.At = now
 	changed := false
 	if reply.GetVersion() > old.Version && len(reply.GetPacked()) > 0 {
-		text, err := packer.Unpack(reply.GetPacked(), maxDocument)
+		text, err := packer.Unpack(reply.GetPacked(), messenger.MaxDocument)
 		if err != nil {
 			w.config.Log.Error("routing document dropped", "version", reply.GetVersion(), "err", err)
 			return
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -256,9 +256,6 @@
 	}
 }
 
-// Len returns the number of records, those of servers that have gone included.
-func (r *Registry) Len() int { return len(r.records) }
-
 // List returns all records ordered by name, for a snapshot.
 func (r *Registry) List() []Server {
 	var list []Server
--- a/internal/protocol/messenger/dial.go
+++ b/internal/protocol/messenger/dial.go
@@ -16,6 +16,10 @@
 // snapshot of the control state is the largest one sent.
 const MaxMessage = 64 << 20
 
+// MaxDocument is the largest routing document in bytes. Packed, it fits into one
+// record of the log.
+const MaxDocument = 8 << 20
+
 // pingInterval is how long a connection may be silent before it is probed.
 // grpc allows no less than 10 s on the client side.
 const pingInterval = 10 * time.Second
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -12,7 +12,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -263,6 +262,3 @@
 	name, _, _ := strings.Cut(signature, ".")
 	return name
 }
-
-// Addr parses an address that is known to be one.
-func Addr(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
