Send requests past a server whose only connection is busy

Cause: hosts of a large fleet share out the connections of a server and have one each. The choice of a server counted the server's slots only, so that a second request at the same host waited for the first one's answer while other replicas were idle.

--- a/internal/route/relayer/fleet.go
+++ b/internal/route/relayer/fleet.go
@@ -78,6 +78,7 @@
 	limit := r.connections(next.table, s.Service)
 	if ok && current.Incarnation == s.Incarnation && current.Address == s.Address {
 		current.pool.Resize(limit)
+		r.selector.Resize(s.Name, room(s, limit))
 		if current.State != s.State || current.Slots != s.Slots {
 			changed := &server{Server: s, pool: current.pool}
 			changed.misdirected.Store(current.misdirected.Load())
@@ -92,7 +93,7 @@
 			current.pool.Close()
 		}
 		current = &server{Server: s, pool: connector.New(s.Address, limit)}
-		r.selector.Update(r.described(s))
+		r.selector.Update(described(s, limit))
 		if s.Zone == r.config.Zone && s.State == registrar.Ready {
 			go current.pool.Warm(ctx)
 		}
@@ -108,16 +109,23 @@
 	next.services[s.Service] = m
 }
 
-// described returns what the selector needs to know of a server. A cold server
-// is warm once the time that it announced is over.
-func (r *Relayer) described(s registrar.Server) selector.Server {
-	d := selector.Server{Name: s.Name, Zone: s.Zone, Incarnation: s.Incarnation, Slots: s.Slots}
+// described returns what the selector needs to know of a server to which this
+// host has at most limit connections. A cold server is warm once the time that it
+// announced is over.
+func described(s registrar.Server, limit int) selector.Server {
+	d := selector.Server{Name: s.Name, Zone: s.Zone, Incarnation: s.Incarnation, Slots: room(s, limit)}
 	if s.Cold > 0 {
 		d.Started = selector.WarmAt(time.Now().Add(s.Cold))
 	}
 	return d
 }
 
+// room is how many requests this host can have at a server before the next one
+// waits. Hosts of a large fleet have a single connection to each server: the next
+// request waits until the answer to the first has come, however many slots are
+// free, and is better sent to another replica.
+func room(s registrar.Server, limit int) int { return max(1, min(s.Slots, limit)) }
+
 // connections is this host's share of the connections that a server takes.
 func (r *Relayer) connections(table *router.Table, service string) int {
 	if table == nil {
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -271,6 +271,33 @@
 	require.Zero(t, late)
 }
 
+// TestBusyConnection guards against a request that waits for the only connection
+// to a near server while another replica is idle. It answers a large fleet, whose
+// hosts share out the connections of each server.
+func TestBusyConnection(t *testing.T) {
+	const held = 300 * time.Millisecond
+	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b"}})
+	near, far := w.backends["a"].server, w.backends["b"].server
+	far.Zone = "y"
+	far.Incarnation++
+	// With as many hosts as connections, each has one.
+	w.relayer.Update(t.Context(), w.relayer.Table(), []registrar.Server{near, far}, 100)
+	w.backends["a"].set(part("a"))
+	require.Contains(t, string(w.do(t, "/x").Body), "a", "the near server is preferred")
+	begun := make(chan struct{})
+	w.backends["a"].set(func(rw http.ResponseWriter, r *http.Request) {
+		close(begun)
+		slow(held, part("a"))(rw, r)
+	})
+	done := make(chan Answer)
+	go func() { done <- w.do(t, "/x") }()
+	<-begun
+	start := time.Now()
+	require.Contains(t, string(w.do(t, "/x").Body), "b")
+	require.Less(t, time.Since(start), held/2)
+	require.Equal(t, Served, (<-done).Reason)
+}
+
 // TestDown guards against requests that find out whether a server is back.
 func TestDown(t *testing.T) {
 	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -87,6 +87,14 @@
 	return server.Zone
 }
 
+// Resize changes how many requests a server runs at once, and nothing else that
+// is known of it. An unknown server is ignored.
+func (s *Selector) Resize(name string, slots int) {
+	if t := s.servers[name]; t != nil {
+		t.info.Slots = slots
+	}
+}
+
 // Remove takes a server out. Its state is kept until its last sub-request in
 // flight has finished, so that a server that returns meanwhile is counted right.
 func (s *Selector) Remove(name string) {
