--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -53,6 +53,7 @@
 // Relay carries clients' requests.
 type Relay interface {
 	Do(ctx context.Context, r relayer.Request) relayer.Answer
+	Refuse(r *relayer.Request, reason relayer.Reason) relayer.Answer
 	Table() *router.Table
 }
 
--- a/internal/host/forwarder/way.go
+++ b/internal/host/forwarder/way.go
@@ -76,5 +76,10 @@
 	return e.relayer.Do(ctx, r)
 }
 
+// Refuse ends a request that cannot be served as it is.
+func (e entry) Refuse(r *relayer.Request, reason relayer.Reason) relayer.Answer {
+	return e.relayer.Refuse(r, reason)
+}
+
 // Table returns the routing table in force, or nil.
 func (e entry) Table() *router.Table { return e.relayer.Table() }
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -19,6 +19,12 @@
 	NotReady // not ready
 	// NoRoute means that no route takes the request.
 	NoRoute // no route
+	// LongHeader means that the head of the request exceeds the table's limit.
+	LongHeader // header too long
+	// LongBody means that the body exceeds the table's limit.
+	LongBody // body too long
+	// Unreadable means that the body ended early.
+	Unreadable // unreadable
 	// NoServer means that no server could be sent the request.
 	NoServer // no server
 	// Shed means that every server that was asked refused the request.
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -99,11 +99,11 @@
 func (r *Relayer) Do(ctx context.Context, request Request) Answer {
 	f := r.fleet.Load()
 	if f.table == nil {
-		return Answer{Reason: NotReady, Retry: startRetry}
+		return r.Refuse(&request, NotReady)
 	}
 	route, ok := f.table.Match(request.Host, request.Path)
 	if !ok {
-		return Answer{Reason: NoRoute}
+		return r.Refuse(&request, NoRoute)
 	}
 	limit := request.Received.Add(route.Timeout)
 	if !request.Deadline.IsZero() && request.Deadline.Before(limit) {
@@ -111,7 +111,7 @@
 	}
 	limit = limit.Add(-limitMargin)
 	if !time.Now().Before(limit) {
-		return Answer{Reason: Expired, Retry: retryLeast}
+		return r.Refuse(&request, Expired)
 	}
 	q := r.newQuery(f, route, &request, limit)
 	ctx, cancel := context.WithDeadline(ctx, limit)
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -11,18 +11,21 @@
 	_ = x[Served-0]
 	_ = x[NotReady-1]
 	_ = x[NoRoute-2]
-	_ = x[NoServer-3]
-	_ = x[Shed-4]
-	_ = x[Overload-5]
-	_ = x[Expired-6]
-	_ = x[Broken-7]
-	_ = x[TimedOut-8]
-	_ = x[Left-9]
+	_ = x[LongHeader-3]
+	_ = x[LongBody-4]
+	_ = x[Unreadable-5]
+	_ = x[NoServer-6]
+	_ = x[Shed-7]
+	_ = x[Overload-8]
+	_ = x[Expired-9]
+	_ = x[Broken-10]
+	_ = x[TimedOut-11]
+	_ = x[Left-12]
 }
 
-const _Reason_name = "servednot readyno routeno servershedoverloadexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadableno servershedoverloadexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 32, 36, 44, 51, 57, 66, 77}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 70, 74, 82, 89, 95, 104, 115}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -330,6 +331,24 @@
 	require.Equal(t, NotReady, r.Do(t.Context(), Request{Received: time.Now()}).Reason)
 }
 
+// TestRefusalsAreReported guards against refusals that leave no trace because no
+// route was chosen yet.
+func TestRefusalsAreReported(t *testing.T) {
+	var lines bytes.Buffer
+	scope := tally.NewTestScope("", nil)
+	r := New(Config{Codec: codec{}, Log: log.New(&lines), Scope: scope})
+	r.Do(t.Context(), Request{ID: "early", Received: time.Now()})
+	table, err := router.New(7, []router.Route{single(router.Safe)}, []router.Service{{Name: "s"}}, router.Limits{})
+	require.NoError(t, err)
+	r.Update(t.Context(), table, nil, 1)
+	r.Do(t.Context(), Request{ID: "stray", Host: "other", Path: "/x", Received: time.Now()})
+	r.Do(t.Context(), Request{ID: "tardy", Host: "h", Path: "/x", Received: time.Now(), Deadline: time.Now()})
+	for id, reason := range map[string]Reason{"early": NotReady, "stray": NoRoute, "tardy": Expired} {
+		require.Regexp(t, "request="+id+" reason=\"?"+reason.String(), lines.String())
+		require.EqualValues(t, 1, scope.Snapshot().Counters()["requests+reason="+reason.String()].Value())
+	}
+}
+
 // TestClientLeaves guards against work for a client that has gone.
 func TestClientLeaves(t *testing.T) {
 	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -27,6 +27,26 @@
 		"out", q.out, "hedges", q.hedges, "retries", q.retries, "table", q.fleet.table.Version, "control", r.age())
 }
 
+// Refuse logs and counts a request that ends before a route was chosen for it,
+// and returns its answer.
+func (r *Relayer) Refuse(request *Request, reason Reason) Answer {
+	a := Answer{Reason: reason}
+	switch reason {
+	case NotReady:
+		a.Retry = startRetry
+	case Expired:
+		a.Retry = retryLeast
+	}
+	var version uint64
+	if t := r.Table(); t != nil {
+		version = t.Version
+	}
+	r.config.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("requests").Inc(1)
+	r.config.Log.Warn("request refused", "request", request.ID, "reason", reason, "host", request.Host, "path", request.Path,
+		"took", time.Since(request.Received), "deadline", request.Deadline, "table", version, "control", r.age())
+	return a
+}
+
 // age returns how old what this host knows from control may be.
 func (r *Relayer) age() time.Duration {
 	if r.config.Age == nil {
