--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -422,3 +423,61 @@
 		}
 	})
 }
+
+// BenchmarkFanout measures the processor time of a fan-out over 36 shards, the
+// width at which small hosts spend most of it.
+func BenchmarkFanout(b *testing.B) {
+	const width, replicas = 36, 3
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveParts(c)
+		}
+	}()
+	route := router.Route{Name: "all", Host: "h", Prefix: "/", Kind: router.Safe, Timeout: time.Second, Objective: 200 * time.Millisecond,
+		Attempts: 2, Top: 20, Coverage: 0.95}
+	var services []router.Service
+	var servers []registrar.Server
+	for i := range width {
+		name := fmt.Sprintf("s%d", i)
+		route.Shards = append(route.Shards, name)
+		services = append(services, router.Service{Name: name, Connections: 100})
+		for j := range replicas {
+			servers = append(servers, registrar.Server{Name: fmt.Sprintf("%s-%d", name, j), Service: name, Zone: "z",
+				Address: l.Addr().(*net.TCPAddr).AddrPort(), Slots: 4, Incarnation: 1, Sequence: 1})
+		}
+	}
+	table, err := router.New(1, []router.Route{route}, services, router.Limits{})
+	require.NoError(b, err)
+	r := New(Config{Zone: "z", Codec: codec{}, Budget: Budget{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, Log: log.New(io.Discard),
+		Scope: tally.NoopScope})
+	r.Update(b.Context(), table, servers, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		a := r.Do(b.Context(), Request{ID: "1", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h", HostHeader: "h",
+			Header: http.Header{}, Received: time.Now()})
+		require.Equal(b, Served, a.Reason)
+	}
+}
+
+// serveParts answers every request on a connection with the same part.
+func serveParts(c net.Conn) {
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: s\r\nContent-Length: 16\r\n\r\n................"
+	defer func() { _ = c.Close() }()
+	buffer := make([]byte, 4<<10)
+	for {
+		// A request arrives in one piece.
+		if _, err := c.Read(buffer); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, answer); err != nil {
+			return
+		}
+	}
+}
