Count the time of opening a connection in the choice of a server

Cause: closing unused connections made hedges and the first requests to far replicas wait for new ones. Hosts without a server of a shard in their zone spread their requests over all three replicas and kept or opened connections to each.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -129,6 +129,13 @@
 	p.rest = cmp.Or(limit, keepDefault)
 }
 
+// Idle reports whether there is a connection that no request uses.
+func (p *Pool) Idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // Warm opens a connection unless there is one. Failures show at the first
 // request.
 func (p *Pool) Warm(ctx context.Context) {
--- a/internal/route/relayer/fleet.go
+++ b/internal/route/relayer/fleet.go
@@ -130,7 +130,7 @@
 
 // scarceRest is how long an idle connection is kept where this host may have only
 // one. A host that prefers a server sends it a request in less time even at night.
-const scarceRest = 3 * time.Second
+const scarceRest = 5 * time.Second
 
 // rest returns how long an idle connection is kept at most, 0 meaning the default,
 // where this host may have limit connections.
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -39,6 +39,9 @@
 	// burstShare is the part of a host's share that may be saved up. Trouble
 	// starts at many shards at once.
 	burstShare = 0.85
+	// connectTime is what opening a connection adds to an answer: two round trips
+	// between zones and the 6 ms that backend servers need for it.
+	connectTime = 8 * time.Millisecond
 	// hostsUnknown is the number of hosts assumed until control has counted them.
 	hostsUnknown = 64
 	// connectionShare is the part of a server's connections that the hosts share
@@ -129,6 +132,12 @@
 		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	r.fleet.Store(&fleet{servers: map[string]*server{}})
+	r.selector.Extra = func(name string) time.Duration {
+		if s := r.fleet.Load().servers[name]; s == nil || s.pool.Idle() {
+			return 0
+		}
+		return connectTime
+	}
 	return r
 }
 
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -300,6 +300,23 @@
 	require.Equal(t, Served, (<-done).Reason)
 }
 
+// TestFewConnections guards against a host that opens connections to all replicas
+// although one can serve all of its requests: servers take about as many connections
+// as a large fleet has hosts.
+func TestFewConnections(t *testing.T) {
+	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b", "c"}})
+	for range 30 {
+		require.Equal(t, Served, w.do(t, "/x").Reason)
+	}
+	used := 0
+	for _, b := range w.backends {
+		if b.count.Load() > 0 {
+			used++
+		}
+	}
+	require.Equal(t, 1, used)
+}
+
 // TestDown guards against requests that find out whether a server is back.
 func TestDown(t *testing.T) {
 	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -52,6 +52,11 @@
 // Selector holds the state of the backend servers as seen by one host. It is
 // not safe for concurrent use.
 type Selector struct {
+	// Extra returns how much longer than usual an answer of a server takes if it is
+	// sent a request now, for example because a connection has to be opened. It may
+	// be nil.
+	Extra func(name string) time.Duration
+
 	zone    string
 	servers map[string]*state
 	// typical is the latency of all servers, which stands in for the unknown
@@ -138,7 +143,7 @@
 		p := pick{
 			state: t,
 			class: t.class(now, r),
-			score: t.score(now, typical) * (1 + jitter*r.Float64()),
+			score: (t.score(now, typical) + s.extra(name)) * (1 + jitter*r.Float64()),
 		}
 		if p.class > worst {
 			continue
@@ -157,6 +162,13 @@
 	return best.state.info.Name, true
 }
 
+func (s *Selector) extra(name string) float64 {
+	if s.Extra == nil {
+		return 0
+	}
+	return float64(s.Extra(name))
+}
+
 // Started counts a sub-request sent to the given incarnation of a server.
 func (s *Selector) Started(name string, incarnation uint64) {
 	if t := s.current(name, incarnation); t != nil {
