--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -305,6 +305,14 @@
 // as a large fleet has hosts.
 func TestFewConnections(t *testing.T) {
 	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b", "c"}})
+	var servers []registrar.Server
+	for _, b := range w.backends {
+		// Connections to servers in the own zone are opened beforehand.
+		s := b.server
+		s.Zone, s.Incarnation = "y", 2
+		servers = append(servers, s)
+	}
+	w.relayer.Update(t.Context(), w.relayer.Table(), servers, 1)
 	for range 30 {
 		require.Equal(t, Served, w.do(t, "/x").Reason)
 	}
