--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -277,14 +277,18 @@
 // to a near server while another replica is idle. It answers a large fleet, whose
 // hosts share out the connections of each server.
 func TestBusyConnection(t *testing.T) {
-	const held = 300 * time.Millisecond
+	const (
+		held = 300 * time.Millisecond
+		// usual is above the time of opening a connection, which counts too.
+		usual = 20 * time.Millisecond
+	)
 	w := newWorld(t, []router.Route{single(router.Unsafe)}, map[string][]string{"s": {"a", "b"}})
 	near, far := w.backends["a"].server, w.backends["b"].server
 	far.Zone = "y"
 	far.Incarnation++
 	// With as many hosts as connections, each has one.
 	w.relayer.Update(t.Context(), w.relayer.Table(), []registrar.Server{near, far}, 100)
-	w.backends["a"].set(part("a"))
+	w.backends["a"].set(slow(usual, part("a")))
 	require.Contains(t, string(w.do(t, "/x").Body), "a", "the near server is preferred")
 	begun := make(chan struct{})
 	w.backends["a"].set(func(rw http.ResponseWriter, r *http.Request) {
