Leave a near server that has become slow after one request

Cause: a server of the own zone was preferred until it was three times as slow as the best one. With usual answers in 20 ms, one request cancelled after 60 ms did not reach that, and a small host sends the next one half a second later.

--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -19,8 +19,10 @@
 	backOffFirst = 100 * time.Millisecond
 	backOffLimit = time.Second
 	// farPreference is how many times worse than the best server a server of
-	// the own zone may be and still be preferred.
-	farPreference = 3.0
+	// the own zone may be and still be preferred. It is low enough for a single
+	// request that a slow server did not answer to turn the next ones away: small
+	// hosts send a server one or two a second.
+	farPreference = 1.5
 	// jitter is the largest relative random change of a score. It spreads the
 	// choices of many hosts over servers that look alike.
 	jitter = 0.1
--- a/internal/search/selector/selector_test.go
+++ b/internal/search/selector/selector_test.go
@@ -257,6 +257,43 @@
 	}
 }
 
+// TestSlowNearServer guards against a host that goes on sending requests to a near
+// server that has become slow. It replays the start of a slow phase: all servers
+// answer in 20 ms, then the near one is still silent when its request is cancelled
+// after 70 ms, because a hedge was answered.
+func TestSlowNearServer(t *testing.T) {
+	const usual, slow = 20 * time.Millisecond, 70 * time.Millisecond
+	now := time.Unix(1000, 0)
+	r := rand.New(rand.NewPCG(1, 1))
+	names := []string{"near", "far", "other"}
+	for _, history := range []int{0, 20} {
+		s := New("z")
+		for _, name := range names {
+			s.Update(Server{Name: name, Zone: map[bool]string{true: "z", false: "y"}[name == "near"], Slots: 1})
+		}
+		s.Extra = func(name string) time.Duration {
+			if name == "near" {
+				return 0
+			}
+			return 8 * time.Millisecond
+		}
+		finish := func(name string, status Status, latency time.Duration) {
+			s.Started(name, 0)
+			now = now.Add(latency)
+			s.Finished(now, name, 0, status, latency)
+		}
+		finish("far", Completed, usual)
+		for range history {
+			finish("near", Completed, usual)
+		}
+		chosen, _ := s.Choose(now, r, names, nil)
+		require.Equal(t, "near", chosen, "history %d", history)
+		finish("near", Cancelled, slow)
+		chosen, _ = s.Choose(now, r, names, nil)
+		require.NotEqual(t, "near", chosen, "history %d", history)
+	}
+}
+
 // TestRamp guards the cold start: a server's share grows linearly over 10 s.
 func TestRamp(t *testing.T) {
 	s := fleet("", "b")
