Leave a near server once its requests are late for longer than a pause

A near server now counts as slow when all of its requests over 250 ms were late, for 4 s. The factor by which it may be worse is 3 again.

The test of the commit before now asks for more: two late requests within a pause leave the near server preferred.

--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -19,10 +19,8 @@
 	backOffFirst = 100 * time.Millisecond
 	backOffLimit = time.Second
 	// farPreference is how many times worse than the best server a server of
-	// the own zone may be and still be preferred. It is low enough for a single
-	// request that a slow server did not answer to turn the next ones away: small
-	// hosts send a server one or two a second.
-	farPreference = 1.5
+	// the own zone may be and still be preferred.
+	farPreference = 3.0
 	// jitter is the largest relative random change of a score. It spreads the
 	// choices of many hosts over servers that look alike.
 	jitter = 0.1
@@ -151,7 +149,7 @@
 			continue
 		}
 		best = best.better(p)
-		if t.near && t.inFlight < t.slots() {
+		if t.near && t.inFlight < t.slots() && !t.slow(now) {
 			near = near.better(p)
 		}
 	}
@@ -187,6 +185,7 @@
 		return
 	}
 	t.inFlight = max(t.inFlight-1, 0)
+	t.judge(now, status, latency, s.typical.value(now, priorLatency))
 	t.observe(now, status, latency)
 	if status == Completed {
 		s.typical.add(now, float64(latency))
--- a/internal/search/selector/selector_test.go
+++ b/internal/search/selector/selector_test.go
@@ -259,8 +259,8 @@
 
 // TestSlowNearServer guards against a host that goes on sending requests to a near
 // server that has become slow. It replays the start of a slow phase: all servers
-// answer in 20 ms, then the near one is still silent when its request is cancelled
-// after 70 ms, because a hedge was answered.
+// answer in 20 ms, then the near one is still silent when its requests are cancelled
+// after 70 ms, because hedges were answered. Two such requests may be a pause.
 func TestSlowNearServer(t *testing.T) {
 	const usual, slow = 20 * time.Millisecond, 70 * time.Millisecond
 	now := time.Unix(1000, 0)
@@ -288,6 +288,12 @@
 		}
 		chosen, _ := s.Choose(now, r, names, nil)
 		require.Equal(t, "near", chosen, "history %d", history)
+		for range 2 {
+			finish("near", Cancelled, slow)
+			chosen, _ = s.Choose(now, r, names, nil)
+			require.Equal(t, "near", chosen, "history %d", history)
+		}
+		now = now.Add(300 * time.Millisecond)
 		finish("near", Cancelled, slow)
 		chosen, _ = s.Choose(now, r, names, nil)
 		require.NotEqual(t, "near", chosen, "history %d", history)
--- a/internal/search/selector/state.go
+++ b/internal/search/selector/state.go
@@ -10,6 +10,15 @@
 	// errorPenalty is how many times more a server that always fails is
 	// expected to cost. Failures can be fast and would otherwise attract work.
 	errorPenalty = 50.0
+	// lateFactor is how many times its usual latency a request takes that counts as
+	// late.
+	lateFactor = 2.0
+	// pauseTime is the time over which the requests to a server have to be late for
+	// it to be slow. A usual pause of a server, 200 ms, ends before.
+	pauseTime = 250 * time.Millisecond
+	// slowTime is how long a slow server is not preferred for being near. Then one
+	// request finds out whether it still is slow.
+	slowTime = 4 * time.Second
 )
 
 // class groups candidates; a better class is chosen whatever the scores.
@@ -30,6 +39,11 @@
 	gone     bool
 	inFlight int
 	latency  average
+	// usual is the latency of answers that were not late. Since the last of these,
+	// requests were late from lateFrom to lateAt.
+	usual    average
+	lateFrom time.Time
+	lateAt   time.Time
 	// failures is the share of failed requests, 0 to 1; it fades with the age
 	// of the last result.
 	failures   float64
@@ -72,6 +86,40 @@
 
 func (t *state) slots() int { return max(t.info.Slots, 1) }
 
+// slow reports whether the server has become slow: all of its last requests were
+// late. A server that only pauses for part of a second is still best for its near
+// hosts.
+//
+// It answers servers that become several times slower for some seconds. A host of
+// a large fleet sends each a request or two a second, and most of them are hedged
+// and cancelled before the slow server answers: the average of what was seen stays
+// below what a near server may be worse than a far one.
+func (t *state) slow(now time.Time) bool {
+	return t.lateAt.Sub(t.lateFrom) >= pauseTime && now.Sub(t.lateAt) < slowTime
+}
+
+// judge counts the end of a request as late or not. Typical stands in for the usual
+// latency of a server that has not answered yet.
+func (t *state) judge(now time.Time, status Status, latency time.Duration, typical float64) {
+	if status != Completed && status != Cancelled && status != TimedOut {
+		return
+	}
+	usual := t.usual.mean
+	if t.usual.at.IsZero() {
+		usual = typical
+	}
+	switch {
+	case float64(latency) >= lateFactor*usual && !(status == Completed && t.usual.at.IsZero()):
+		if t.lateFrom.IsZero() {
+			t.lateFrom = now
+		}
+		t.lateAt = now
+	case status == Completed:
+		t.lateFrom, t.lateAt = time.Time{}, time.Time{}
+		t.usual.add(now, float64(latency))
+	}
+}
+
 // reported returns the reported load, fading to 0 over its lifetime.
 func (t *state) reported(now time.Time) float64 {
 	age := now.Sub(t.loadAt)
