Restore the saved part of the budget after a window without extra sends

Cause: a host began with half of its saved tokens for hedges and retries, against restarts, and got the rest with requests only. At a fault in the first second of traffic, 14 s after the start, it had one token for each shard and needed two: the servers that were slow had to be found out.

The property test of the budget now has hosts of any age and pauses up to 11 s.

--- a/internal/route/relayer/budget.go
+++ b/internal/route/relayer/budget.go
@@ -20,7 +20,19 @@
 // budget is this host's share of the extra sends to one service.
 type budget struct {
 	hedger.Bucket
-	at time.Time
+	// at is when the tokens that come with time were added, takenAt when one was
+	// taken last.
+	at      time.Time
+	takenAt time.Time
+}
+
+// take takes a token if reserve tokens stay afterwards.
+func (b *budget) take(now time.Time, reserve float64) bool {
+	if !b.TakeAbove(reserve) {
+		return false
+	}
+	b.takenAt = now
+	return true
 }
 
 // budget returns the budget of a service, with the tokens that came with time.
@@ -28,12 +40,18 @@
 func (r *Relayer) budget(now time.Time, service string) *budget {
 	b, ok := r.budgets[service]
 	if !ok {
-		b = &budget{Bucket: hedger.NewBucket(budgetShare*r.config.Budget.Ratio, r.burst()), at: now}
+		// The process before this one may have used the whole share just before it
+		// ended.
+		b = &budget{Bucket: hedger.NewBucket(budgetShare*r.config.Budget.Ratio, r.burst()), at: now, takenAt: r.started}
 		// The first requests after a start need it as much as any others. Half of
 		// it keeps hosts that restart from sending twice their share.
 		b.Add(max(1, r.burst()/2))
 		r.budgets[service] = b
 	}
+	if now.Sub(b.takenAt) >= r.config.Budget.Window {
+		// No window holds an extra send from before and one from now on.
+		b.Fill()
+	}
 	b.Add(now.Sub(b.at).Seconds() / r.config.Budget.Window.Seconds() * max(0, r.share()-r.burst()))
 	b.at = now
 	return b
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -72,7 +72,8 @@
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	budget := r.budget(time.Now(), s.service)
+	now := time.Now()
+	budget := r.budget(now, s.service)
 	if why == first {
 		budget.Earn()
 	}
@@ -82,11 +83,11 @@
 	}
 	switch why {
 	case hedge:
-		if !budget.TakeAbove(q.reserve(s, r.burst())) {
+		if !budget.take(now, q.reserve(s, r.burst())) {
 			return nil
 		}
 	case retry:
-		if !budget.Take() {
+		if !budget.take(now, 0) {
 			return nil
 		}
 	}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -115,6 +115,7 @@
 	selector *selector.Selector
 	hedgers  map[string]*hedger.Hedger
 	budgets  map[string]*budget
+	started  time.Time
 	gates    map[string]*admitter.Gate
 	hosts    int
 	rand     *rand.Rand
@@ -127,6 +128,7 @@
 		selector: selector.New(c.Zone),
 		hedgers:  map[string]*hedger.Hedger{},
 		budgets:  map[string]*budget{},
+		started:  time.Now(),
 		gates:    map[string]*admitter.Gate{},
 		hosts:    hostsUnknown,
 		rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -329,6 +329,18 @@
 	require.Equal(t, 1, used)
 }
 
+// TestWholeBudget guards against a host that has only half of its share for the
+// first fault, although it has been up for longer than the window and sent nothing
+// extra.
+func TestWholeBudget(t *testing.T) {
+	r := New(Config{Budget: Budget{Ratio: 0.2, Extra: 176, Window: 10 * time.Second}})
+	r.hosts = 20
+	early := r.budget(r.started.Add(time.Second), "s")
+	require.False(t, early.take(r.started, r.burst()/2))
+	later := r.budget(r.started.Add(11*time.Second), "t")
+	require.True(t, later.take(r.started, r.burst()-1))
+}
+
 // TestDown guards against requests that find out whether a server is back.
 func TestDown(t *testing.T) {
 	w := newWorld(t, []router.Route{single(router.Safe)}, map[string][]string{"s": {"a"}})
@@ -411,6 +423,7 @@
 		for range hosts {
 			r := New(Config{Budget: limits})
 			r.hosts = hosts
+			r.started = time.Unix(1000, 0).Add(-time.Duration(rapid.IntRange(0, 20).Draw(t, "age")) * time.Second)
 			fleet = append(fleet, r)
 		}
 		now := time.Unix(1000, 0)
@@ -420,7 +433,7 @@
 		}
 		var events []event
 		for range rapid.IntRange(10, 300).Draw(t, "events") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond)
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 50, 200, 3000, 9000, 11000}).Draw(t, "pause")) * time.Millisecond)
 			r := fleet[rapid.IntRange(0, hosts-1).Draw(t, "host")]
 			b := r.budget(now, "s")
 			if rapid.Bool().Draw(t, "request") {
@@ -428,7 +441,7 @@
 				events = append(events, event{now, false})
 			}
 			for range rapid.IntRange(0, 5).Draw(t, "wanted") {
-				if b.Take() {
+				if b.take(now, 0) {
 					events = append(events, event{now, true})
 				}
 			}
