--- /dev/null
+++ b/internal/protocol/messenger/dial_test.go
@@ -0,0 +1,41 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+)
+
+// TestLostOpening guards against hosts that do not find each other for a second
+// after a common start: the first attempt to connect went to a host that had no
+// power yet, and nothing answered it.
+func TestLostOpening(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer()
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	var attempts atomic.Int64
+	dialer := func(ctx context.Context, addr string) (net.Conn, error) {
+		if attempts.Add(1) == 1 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	conn, err := Dial(l.Addr().(*net.TCPAddr).AddrPort(), grpc.WithContextDialer(dialer))
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, conn.Close()) })
+	start := time.Now()
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		require.True(t, conn.WaitForStateChange(t.Context(), state))
+		require.Less(t, time.Since(start), 600*time.Millisecond)
+	}
+}
