--- a/internal/route/relayer/fleet.go
+++ b/internal/route/relayer/fleet.go
@@ -129,8 +129,8 @@
 func room(s registrar.Server, limit int) int { return max(1, min(s.Slots, limit)) }
 
 // scarceRest is how long an idle connection is kept where this host may have only
-// one. A host that prefers a server sends it a request in less time even at night.
-const scarceRest = 5 * time.Second
+// one. A host sends the server that it prefers a request or two a second.
+const scarceRest = 2 * time.Second
 
 // rest returns how long an idle connection is kept at most, 0 meaning the default,
 // where this host may have limit connections.
