--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,6 +82,60 @@
 	require.Positive(t, s.served.Load())
 }
 
+// TestMetricsPage guards against metrics that the operators' page does not explain,
+// and against names there that no process has. Those marked * appear with their
+// first event.
+func TestMetricsPage(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	require.NoError(t, err)
+	_, table, ok := strings.Cut(string(page), "## Metrics of relays and members")
+	require.True(t, ok)
+	always := map[string]bool{}
+	for _, row := range regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?: \\*)?(?:, )?)+) \\|").FindAllStringSubmatch(table, -1) {
+		for _, name := range regexp.MustCompile("`([a-z_]+)`( \\*)?").FindAllStringSubmatch(row[1], -1) {
+			always["gentianpond_"+name[1]] = name[2] == ""
+		}
+	}
+	require.NotEmpty(t, always)
+
+	root := t.TempDir()
+	binary, err := standin.Build(root)
+	require.NoError(t, err)
+	s, err := start(binary, folderOf(root, 91), 91)
+	require.NoError(t, err)
+	defer s.close()
+	for i, address := range s.system.Entry {
+		host := &standin.Client{Address: address, Servers: s.service}
+		for n := range 20 {
+			host.Search(fmt.Sprintf("metrics-%d-%d", i, n), "x")
+		}
+	}
+	// Metrics are passed on every second.
+	time.Sleep(1500 * time.Millisecond)
+	seen := map[string]bool{}
+	for _, address := range s.system.Metrics {
+		res, err := http.Get("http://" + address + "/metrics")
+		require.NoError(t, err)
+		text, err := io.ReadAll(res.Body)
+		require.NoError(t, errors.Join(err, res.Body.Close()))
+		for _, m := range regexp.MustCompile(`(?m)^# TYPE (gentianpond_[a-z_]+)`).FindAllStringSubmatch(string(text), -1) {
+			seen[m[1]] = true
+			if _, ok := always[m[1]]; !ok {
+				t.Errorf("docs/OPERATIONS.md does not explain %s", m[1])
+			}
+		}
+	}
+	for name, must := range always {
+		if must && !seen[name] {
+			t.Errorf("no process has %s", name)
+		}
+	}
+}
+
 // roll sends requests to ready relays; every one that was sent has to be served.
 func (s *soak) roll(t *testing.T, number int, stop chan struct{}) {
 	var hosts []*standin.Client
--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -35,6 +35,8 @@
 	Control []string
 	Entry   []string
 	Ready   []string
+	// Metrics are the addresses of the metrics pages, those of members first.
+	Metrics []string
 	folder  string
 }
 
@@ -71,9 +73,11 @@
 	seeds := `"` + strings.Join(s.Control[:min(3, members)], `","`) + `"`
 	for i, address := range s.Control {
 		data := filepath.Join(folder, fmt.Sprintf("data-%d", i))
+		metrics := fmt.Sprintf("127.0.%d.%d:%d", network, i+1, port+3)
+		s.Metrics = append(s.Metrics, metrics)
 		text := func(bootstrap bool) string {
-			return fmt.Sprintf(`{"name":"member-%d","zone":"z%d","listen":%q,"control":[%s],"port":%d,"data":%q,"bootstrap":%t,"losses":1}`,
-				i, i%2, address, seeds, port+1, data, bootstrap)
+			return fmt.Sprintf(`{"name":"member-%d","zone":"z%d","listen":%q,"control":[%s],"port":%d,"data":%q,"bootstrap":%t,"losses":1,"metrics":%q}`,
+				i, i%2, address, seeds, port+1, data, bootstrap, metrics)
 		}
 		p, err := s.process(binary, "member", i, text(true))
 		if err != nil {
@@ -91,8 +95,10 @@
 	for i := range relays {
 		entry := fmt.Sprintf("127.0.%d.%d:%d", network, 100+i, port)
 		ready := fmt.Sprintf("127.0.%d.%d:%d", network, 100+i, port+2)
-		text := fmt.Sprintf(`{"name":"relay-%d","zone":"z%d","listen":%q,"ready":%q,"control":[%s],"port":%d,"grace":"3s","ratio":0.2,"extra":50,"window":"10s"}`,
-			i, i%2, entry, ready, seeds, port+1)
+		metrics := fmt.Sprintf("127.0.%d.%d:%d", network, 100+i, port+3)
+		s.Metrics = append(s.Metrics, metrics)
+		text := fmt.Sprintf(`{"name":"relay-%d","zone":"z%d","listen":%q,"ready":%q,"control":[%s],"port":%d,"grace":"3s","ratio":0.2,"extra":50,"window":"10s","metrics":%q}`,
+			i, i%2, entry, ready, seeds, port+1, metrics)
 		p, err := s.process(binary, "relay", i, text)
 		if err != nil {
 			return s, err
