Hold the question for the leader until there is one, and watches longer in large fleets

Cause: entry hosts asked five control hosts in each round of 60 to 120 ms, over new connections, and watched every 0.7 s.

Each entry host now keeps one connection to each control host that it asks, with one question that is held until there is a leader, and is pushed to it when one is elected. Watches are held for 7 ms for each entry host, from 0.7 to 2 s, and changes are gathered for 1 ms for each.

--- a/internal/control/server/open_test.go
+++ b/internal/control/server/open_test.go
@@ -222,6 +222,40 @@
 	require.Equal(t, "one", text)
 }
 
+// TestFindLeader guards against entry hosts that learn late of a leader: they ask
+// before there is one, before the control hosts are up, and while one leads.
+func TestFindLeader(t *testing.T) {
+	// found is well above a few round trips and below the time for which a question
+	// is held.
+	const found = 250 * time.Millisecond
+	g := newOpenGroup(t)
+	follow := func(host string) (*subscriber.Watcher, func()) {
+		w := subscriber.NewWatcher(subscriber.WatcherConfig{
+			Host: host, Incarnation: 1, Seeds: g.seeds, Changed: func(subscriber.Watched) {}, Log: quiet(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- w.Run(ctx) }()
+		return w, func() {
+			cancel()
+			require.ErrorIs(t, <-done, context.Canceled)
+		}
+	}
+	early, stop := follow("early")
+	defer stop()
+	time.Sleep(100 * time.Millisecond)
+	var all []*Server
+	for _, a := range g.seeds {
+		all = append(all, g.start(a, true))
+	}
+	g.leader(all)
+	g.publish(all[0], 1, "one")
+	require.Eventually(t, func() bool { return early.State().Version == 1 }, found, time.Millisecond)
+	late, stopLate := follow("late")
+	defer stopLate()
+	require.Eventually(t, func() bool { return late.State().Version == 1 }, found, time.Millisecond)
+}
+
 // TestWatch guards against an entry host that misses a document, a new server or
 // one that drains, also when the leader changes.
 func TestWatch(t *testing.T) {
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -13,8 +13,10 @@
 	// covers a held watch and the way back.
 	watchMemory = watchLimit + 2*time.Second
 	// watchPause is the least time between two looks for news, so that changes
-	// that come together travel together.
+	// that come together travel together, and watchEach what each entry host adds to
+	// it: a change is sent to all of them.
 	watchPause = 40 * time.Millisecond
+	watchEach  = time.Millisecond
 )
 
 // watcher is a watch that is held.
@@ -50,16 +52,24 @@
 	return uint32(len(a.hosts))
 }
 
-// watch holds a request until there is news for it.
+// watch holds a request until there is news for it, and a question for the leader
+// until there is one.
 func (l *loop) watch(r *messenger.WatchRequest, done func(*messenger.WatchReply, error)) {
-	if !l.leads() {
-		done(&messenger.WatchReply{Leader: l.leader()}, nil)
+	now := l.now()
+	leads, leader := l.leads(), l.leader()
+	if leads {
+		l.audience.note(now, r.GetHost())
+	}
+	if leads && r.GetSeek() {
+		done(&messenger.WatchReply{Granted: true, Control: addresses(l.status)}, nil)
 		return
 	}
-	now := l.now()
-	l.audience.note(now, r.GetHost())
-	wait := min(r.GetWait().AsDuration(), watchLimit)
-	l.watchers = append(l.watchers, watcher{request: r, until: now + wait, done: done})
+	if !leads && (leader != "" || !r.GetSeek()) {
+		done(&messenger.WatchReply{Leader: leader}, nil)
+		return
+	}
+	until := now + min(r.GetWait().AsDuration(), watchLimit)
+	l.watchers = append(l.watchers, watcher{request: r, until: until, done: done})
 }
 
 // answerWatchers answers the watches that have news or have waited long enough.
@@ -70,13 +80,15 @@
 	if len(l.watchers) == 0 || now < l.watchAt {
 		return
 	}
-	l.watchAt = now + watchPause
-	leads := l.leads()
+	l.watchAt = now + max(watchPause, time.Duration(len(l.audience.hosts))*watchEach)
+	leads, leader := l.leads(), l.leader()
 	kept := l.watchers[:0]
 	for _, w := range l.watchers {
 		switch {
-		case !leads:
-			w.done(&messenger.WatchReply{Leader: l.leader()}, nil)
+		case w.request.GetSeek() && !leads && leader == "" && now < w.until:
+			kept = append(kept, w)
+		case w.request.GetSeek() || !leads:
+			w.done(&messenger.WatchReply{Granted: leads, Leader: leader, Control: addresses(l.status)}, nil)
 		case l.news(w.request) || now >= w.until:
 			w.done(l.watchReply(now, w.request), nil)
 		default:
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"google.golang.org/grpc"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"gentianpond/internal/fleet/registrar"
@@ -20,17 +20,23 @@
 )
 
 const (
-	// holdTime is how long a watch may be held, and answerTime how long its
-	// answer may take besides. A lost leader is noticed after their sum.
-	holdTime   = 700 * time.Millisecond
+	// holdLeast, holdEach and holdMost bound how long a watch is held: so long for
+	// each entry host, so that the leader's work for watches does not grow with
+	// their number. With 284 entry hosts and 0.7 s a control host of a quarter of a
+	// core had no time left. A lost leader is noticed after the hold and answerTime.
+	holdLeast = 700 * time.Millisecond
+	holdEach  = 7 * time.Millisecond
+	holdMost  = 2 * time.Second
+	// answerTime is how long an answer may take besides.
 	answerTime = 300 * time.Millisecond
-	// findTime bounds the first question to a host. A host without power answers
-	// nothing, and a connection that was asked for before it started is not
-	// opened for a second, so that asking anew is quicker than waiting.
-	findTime = 250 * time.Millisecond
-	// findPause is the pause between two rounds of questions, half of it random:
-	// all entry hosts look for a new leader at the same time.
-	findPause = 60 * time.Millisecond
+	// askHold is how long a host that knows no leader may hold the question for it.
+	askHold = 500 * time.Millisecond
+	// askFirst and askMost bound the pause between two questions to one host, half
+	// of it random: all entry hosts look for a new leader at the same time.
+	askFirst = 60 * time.Millisecond
+	askMost  = 500 * time.Millisecond
+	// findTime is how long the same hosts are asked for the leader.
+	findTime = 5 * time.Second
 	// findMost is the number of hosts that are asked at once.
 	findMost = 5
 	// loadTime bounds the first watch of a leader that was found, whose answer
@@ -40,6 +46,11 @@
 	watchPause = 20 * time.Millisecond
 )
 
+// holdTime returns how long a watch is held with so many entry hosts.
+func holdTime(hosts int) time.Duration {
+	return min(max(holdLeast, time.Duration(hosts)*holdEach), holdMost)
+}
+
 // Watched is what an entry host knows of the routing document and the registry.
 // It must not be modified.
 type Watched struct {
@@ -106,15 +117,15 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	defer w.drop()
 	for ctx.Err() == nil {
-		timeout := holdTime + answerTime
+		hold := holdTime(w.State().Hosts)
+		timeout := hold + answerTime
 		if w.leader.client == nil {
 			if !w.find(ctx) {
-				wait(ctx, findPause/2+rand.N(findPause/2))
 				continue
 			}
 			timeout = loadTime
 		}
-		w.follow(ctx, timeout)
+		w.follow(ctx, hold, timeout)
 		wait(ctx, watchPause)
 	}
 	return ctx.Err()
@@ -129,9 +140,9 @@
 }
 
 // follow asks the leader for news.
-func (w *Watcher) follow(ctx context.Context, timeout time.Duration) {
+func (w *Watcher) follow(ctx context.Context, hold, timeout time.Duration) {
 	s := w.State()
-	reply, err := watch(ctx, w.leader.client, w.request(s.Version, s.registry, holdTime), timeout)
+	reply, err := watch(ctx, w.leader.client, w.request(s.Version, s.registry, hold), timeout)
 	if err == nil && reply.GetGranted() {
 		w.adopt(reply, time.Now())
 		return
@@ -152,64 +163,87 @@
 	}
 }
 
-func watch(ctx context.Context, c messenger.ControlClient, r *messenger.WatchRequest, timeout time.Duration) (*messenger.WatchReply, error) {
+func watch(
+	ctx context.Context, c messenger.ControlClient, r *messenger.WatchRequest, timeout time.Duration, options ...grpc.CallOption,
+) (*messenger.WatchReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.Watch(ctx, r)
+	return c.Watch(ctx, r, options...)
 }
 
-// found is the answer of one host that may be the leader.
+// found is what one host said: that it leads, with the connection to it, or who
+// does.
 type found struct {
 	peer  peer
 	reply *messenger.WatchReply
 }
 
 // find asks several hosts at once and follows the first that leads. It reports
-// whether there was one.
+// whether there was one before the hosts to ask were due to be chosen anew.
+//
+// It answers a common start of all hosts, and the loss of a leader, in a large
+// fleet: each host keeps one connection to each control host that it asks, one
+// question is open on it, and control hosts hold it until they know a leader.
+// Opening connections for each round of questions, 16 rounds a second from 284
+// entry hosts, kept the control hosts from electing one.
 func (w *Watcher) find(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, findTime)
 	defer cancel()
-	targets := w.targets()
-	answers := make(chan found, len(targets))
-	for _, a := range targets {
-		go func() { answers <- w.probe(ctx, a) }()
-	}
-	for range targets {
-		f := <-answers
-		if f.reply.GetGranted() && w.leader.client == nil {
-			w.leader = f.peer
-			w.config.Log.Info("found the control leader", "table", f.reply.GetVersion(), "registry", f.reply.GetRegistry())
-			cancel()
-			continue
+	answers := make(chan found)
+	asked := map[netip.AddrPort]bool{}
+	ask := func(a netip.AddrPort) {
+		if !asked[a] {
+			asked[a] = true
+			go w.ask(ctx, a, answers)
 		}
-		if f.peer.closer != nil {
-			_ = f.peer.closer.Close()
+	}
+	for _, a := range w.targets() {
+		ask(a)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case f := <-answers:
+			if f.reply.GetGranted() {
+				w.leader = f.peer
+				w.config.Log.Info("found the control leader", "table", f.reply.GetVersion(), "registry", f.reply.GetRegistry())
+				return true
+			}
+			if a, err := netip.ParseAddrPort(f.reply.GetLeader()); err == nil {
+				ask(a)
+			}
 		}
 	}
-	return w.leader.client != nil
 }
 
-// probe asks one host, and the leader that it names, who leads. It asks for
-// nothing else: several answers with all that there is would fill a narrow link.
-func (w *Watcher) probe(ctx context.Context, addr netip.AddrPort) found {
-	request := w.request(math.MaxUint64, math.MaxUint64, 0)
-	for range maxRedirects {
-		client, closer, err := w.config.Connect(addr)
-		if err != nil {
-			return found{}
-		}
-		p := peer{client: client, closer: closer}
-		reply, err := watch(ctx, client, request, findTime)
-		if err != nil || reply.GetGranted() {
-			return found{peer: p, reply: reply}
+// ask asks one host who leads until ctx ends or that host does. It asks for nothing
+// else: several answers with all that there is would fill a narrow link.
+func (w *Watcher) ask(ctx context.Context, addr netip.AddrPort, answers chan<- found) {
+	client, closer, err := w.config.Connect(addr)
+	if err != nil {
+		w.config.Log.Error("control host cannot be asked", "host", addr, "err", err)
+		return
+	}
+	request := w.request(0, 0, askHold)
+	request.Seek = true
+	for pause := askFirst; ; pause = min(2*pause, askMost) {
+		// A host that is not up yet is connected to as soon as it is.
+		reply, err := watch(ctx, client, request, askHold+answerTime, grpc.WaitForReady(true))
+		if err == nil {
+			select {
+			case answers <- found{peer: peer{client: client, closer: closer}, reply: reply}:
+				if reply.GetGranted() {
+					return
+				}
+			case <-ctx.Done():
+			}
 		}
-		_ = closer.Close()
-		addr, err = netip.ParseAddrPort(reply.GetLeader())
-		if err != nil {
-			return found{}
+		if !wait(ctx, pause/2+rand.N(pause/2)) {
+			_ = closer.Close()
+			return
 		}
 	}
-	return found{}
 }
 
 // targets returns some of the known control hosts in random order.
