--- a/internal/search/selector/state.go
+++ b/internal/search/selector/state.go
@@ -104,12 +104,13 @@
 	if status != Completed && status != Cancelled && status != TimedOut {
 		return
 	}
-	usual := t.usual.mean
-	if t.usual.at.IsZero() {
+	usual, answered := t.usual.mean, !t.usual.at.IsZero()
+	if !answered {
 		usual = typical
 	}
 	switch {
-	case float64(latency) >= lateFactor*usual && !(status == Completed && t.usual.at.IsZero()):
+	// The first answer says what is usual for this server.
+	case (answered || status != Completed) && float64(latency) >= lateFactor*usual:
 		if t.lateFrom.IsZero() {
 			t.lateFrom = now
 		}
