--- a/internal/control/replicator/election.go
+++ b/internal/control/replicator/election.go
@@ -28,8 +28,8 @@
 	return ok && m.Voter && c.installing == nil
 }
 
-// collectVotes asks every other voter with a copy of m; learners are never asked, and only
-// voters are counted.
+// collectVotes asks every other voter with a copy of m; learners are never asked,
+// and only voters are counted.
 func (c *Core) collectVotes(m Message) {
 	c.votes = map[uint64]bool{c.id: true}
 	m.Index = c.log.last()
