--- a/internal/control/replicator/faults_test.go
+++ b/internal/control/replicator/faults_test.go
@@ -127,18 +127,24 @@
 	}
 }
 
+// ledSim returns a simulation whose group has formed and has a leader.
+func ledSim(t *rapid.T) (*sim, *host) {
+	size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+	s := newSim(t, rapid.Uint64().Draw(t, "seed"), size, size)
+	s.run(500 * time.Millisecond)
+	l := s.leader()
+	if l == nil {
+		t.Fatalf("no leader on a network without faults")
+	}
+	return s, l
+}
+
 // Guards against a planned stop of the leader that costs an election timeout, and
 // against a handover that needs more than the messages of a vote.
 func TestHandover(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
-		s := newSim(t, rapid.Uint64().Draw(t, "seed"), size, size)
-		s.run(500 * time.Millisecond)
-		l := s.leader()
-		if l == nil {
-			t.Fatalf("no leader on a network without faults")
-		}
+		s, l := ledSim(t)
 		s.burst(rapid.IntRange(0, 3).Draw(t, "writes"))
 		s.run(100 * time.Millisecond)
 		l.core.Handover(s.local(l))
@@ -156,13 +162,7 @@
 func TestReturn(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
-		s := newSim(t, rapid.Uint64().Draw(t, "seed"), size, size)
-		s.run(500 * time.Millisecond)
-		l := s.leader()
-		if l == nil {
-			t.Fatalf("no leader on a network without faults")
-		}
+		s, l := ledSim(t)
 		term := l.core.Status().Term
 		h := s.hosts[rapid.IntRange(0, len(s.hosts)-1).Draw(t, "host")]
 		if h == l {
