--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -103,6 +103,13 @@
 		r.Finish(r.Header)
 	}
 	data := encode(r)
+	// A process that was frozen after the request was admitted must not send it
+	// after its time: other hosts may use the server by then. The timer of ctx may
+	// not have fired yet.
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		<-ctx.Done()
+		return nil, false, errors.Join(ErrUnsent, ctx.Err())
+	}
 	if len(data) <= wholeWrite {
 		n, err := c.raw.Write(data)
 		if err != nil && n == 0 {
--- a/internal/backend/connector/connector_test.go
+++ b/internal/backend/connector/connector_test.go
@@ -107,6 +107,29 @@
 	<-ended
 }
 
+// TestFrozenBeforeWrite guards against a request that is sent after its deadline by a
+// process that was frozen between admission and sending.
+func TestFrozenBeforeWrite(t *testing.T) {
+	var requests atomic.Int64
+	p := New(listen(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for id, ok := take(r); ok; id, ok = take(r) {
+			requests.Add(1)
+			answer(c, id, id)
+		}
+	}), 1)
+	const limit = 50 * time.Millisecond
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	r := request("1")
+	r.Finish = func(http.Header) { time.Sleep(2 * limit) }
+	_, err := p.Do(ctx, r)
+	require.ErrorIs(t, err, ErrUnsent)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	_, err = do(t, p, "2")
+	require.NoError(t, err)
+	require.EqualValues(t, 1, requests.Load())
+}
+
 // TestExtraAnswerWhileIdle guards against an answer that arrives on an idle
 // connection and is taken for the answer of the next request.
 func TestExtraAnswerWhileIdle(t *testing.T) {
