Compute the hedge delay once an event, and read answers' ids without the rest

The delay, two quantiles under the lock, was computed for the hedges and again for the next wake-up. Whether an answer belongs to a request decoded all of its headers, which are decoded again for the result. The number of sends of a shard is that of the servers tried. Both ways to close idle connections share one loop.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -172,11 +172,20 @@
 
 // Sweep closes connections that were idle for long.
 func (p *Pool) Sweep(now time.Time) {
+	p.closeIdle(func(c *conn) bool { return now.After(c.until) })
+}
+
+// CloseIdle closes the connections that no request is using.
+func (p *Pool) CloseIdle() {
+	p.closeIdle(func(*conn) bool { return true })
+}
+
+// closeIdle closes the idle connections that are picked.
+func (p *Pool) closeIdle(picked func(*conn) bool) {
 	p.mu.Lock()
-	var old []*conn
-	kept := p.idle[:0]
+	var old, kept []*conn
 	for _, c := range p.idle {
-		if now.After(c.until) {
+		if picked(c) {
 			old = append(old, c)
 			continue
 		}
@@ -190,18 +199,6 @@
 	}
 }
 
-// CloseIdle closes the connections that no request is using.
-func (p *Pool) CloseIdle() {
-	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
-	p.open -= len(idle)
-	p.mu.Unlock()
-	for _, c := range idle {
-		c.close()
-	}
-}
-
 // Close closes the idle connections and refuses further requests. Those in
 // flight go on.
 func (p *Pool) Close() {
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -35,7 +35,7 @@
 	request.Finish = func(h http.Header) {
 		q.relayer.config.Codec.Encode(h, q.id, time.Until(q.limit), s.Name)
 	}
-	request.Own = func(h http.Header) bool { return q.relayer.config.Codec.Decode(http.StatusOK, h).ID == q.id }
+	request.Own = func(h http.Header) bool { return q.relayer.config.Codec.ID(h) == q.id }
 	response, err := s.pool.Do(ctx, &request)
 	r := result{shard: shard, server: s, response: response, err: err, latency: time.Since(start)}
 	if err == nil {
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -13,16 +13,15 @@
 	return q.route.Kind == router.Safe && s.part == nil && s.flying == 1 && !s.hedged && s.sends < q.route.Attempts
 }
 
-func (q *query) hedgeDelay() time.Duration {
+func (q *query) hedgeDelay(now time.Time) time.Duration {
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.hedger(q.route).DelayBefore(time.Now(), q.plan.Aim.Sub(q.plan.Start))
+	return r.hedger(q.route).DelayBefore(now, q.plan.Aim.Sub(q.plan.Start))
 }
 
 // hedge sends another request for each shard that is late.
-func (q *query) hedge(ctx context.Context, now time.Time) {
-	delay := q.hedgeDelay()
+func (q *query) hedge(ctx context.Context, now time.Time, delay time.Duration) {
 	for i := range q.shards {
 		s := &q.shards[i]
 		if !q.hedgeable(s) || now.Before(s.due(delay)) {
@@ -54,7 +53,6 @@
 	q.relayer.reportAgain(q, s, target, why)
 	s.tried = append(s.tried, target.Name)
 	s.sends++
-	s.attempts++
 	s.flying++
 	s.sent = time.Now()
 	switch why {
--- a/internal/route/relayer/end.go
+++ b/internal/route/relayer/end.go
@@ -35,7 +35,7 @@
 	for i := range q.shards {
 		s := &q.shards[i]
 		ran = ran || s.sends > 0
-		tried = tried || s.attempts > 0
+		tried = tried || len(s.tried) > 0
 	}
 	if !q.route.Fanout() && q.shards[0].failure != nil {
 		res := q.shards[0].failure
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -76,10 +76,9 @@
 type shard struct {
 	service string
 	tried   []string
-	// sends counts the sends that servers may have run, attempts all sends.
-	sends    int
-	attempts int
-	flying   int
+	// sends counts the sends that servers may have run; tried has one for each send.
+	sends  int
+	flying int
 	// sent is when the newest send left.
 	sent   time.Time
 	hedged bool
@@ -181,7 +180,8 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		q.hedge(ctx, now)
+		delay := q.hedgeDelay(now)
+		q.hedge(ctx, now, delay)
 		verdict, until := q.plan.Decide(now, q.parts, q.open())
 		switch verdict {
 		case gatherer.Reply:
@@ -189,7 +189,7 @@
 		case gatherer.Fail:
 			return q.fail(ctx)
 		}
-		timer.Reset(time.Until(q.wake(until)))
+		timer.Reset(time.Until(q.wake(until, delay)))
 		select {
 		case res := <-q.results:
 			q.handle(ctx, res)
@@ -234,8 +234,7 @@
 }
 
 // wake returns the time of the next hedge, or until if that is earlier.
-func (q *query) wake(until time.Time) time.Time {
-	delay := q.hedgeDelay()
+func (q *query) wake(until time.Time, delay time.Duration) time.Time {
 	for i := range q.shards {
 		s := &q.shards[i]
 		if !q.hedgeable(s) {
@@ -295,7 +294,7 @@
 	if s.flying > 0 {
 		return
 	}
-	if s.sends >= q.route.Attempts || s.attempts >= maxSends || ctx.Err() != nil {
+	if s.sends >= q.route.Attempts || len(s.tried) >= maxSends || ctx.Err() != nil {
 		s.closed = true
 		return
 	}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -54,6 +54,8 @@
 	// Encode adds to the header what tells a server about a send: the client's
 	// request id, the time left and the server that is meant.
 	Encode(h http.Header, id string, left time.Duration, server string)
+	// ID returns the id of the request that an answer belongs to.
+	ID(h http.Header) string
 	// Decode reads what a server says about its answer.
 	Decode(status int, h http.Header) Note
 }
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -34,8 +34,10 @@
 	h.Set("Server", server)
 }
 
-func (codec) Decode(status int, h http.Header) Note {
-	return Note{ID: h.Get("Id"), Stamp: h.Get("Stamp"), Refused: h.Get("Refused") != "", Misdirected: status == http.StatusMisdirectedRequest}
+func (codec) ID(h http.Header) string { return h.Get("Id") }
+
+func (c codec) Decode(status int, h http.Header) Note {
+	return Note{ID: c.ID(h), Stamp: h.Get("Stamp"), Refused: h.Get("Refused") != "", Misdirected: status == http.StatusMisdirectedRequest}
 }
 
 // backend is a fake server; serve may be changed between requests.
