Share the cache of connections between processes, and the start of soak tests

The control host's cache of connections to leaders was written beside that of the entry hosts; both are messenger.Conns now. A process of the soak knows its data folder, whose name was put together in two places, and a folder that cannot be removed is reported.

--- a/internal/control/server/relay.go
+++ b/internal/control/server/relay.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -35,52 +33,6 @@
 	ErrRefused = errors.New("invalid request")
 )
 
-// relays holds connections to leaders. The zero value is ready to use.
-type relays struct {
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
-}
-
-func (r *relays) client(leader string, options []grpc.DialOption) (messenger.ControlClient, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if conn, ok := r.conns[leader]; ok {
-		return messenger.NewControlClient(conn), nil
-	}
-	addr, err := netip.ParseAddrPort(leader)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := messenger.Dial(addr, options...)
-	if err != nil {
-		return nil, err
-	}
-	if r.conns == nil {
-		r.conns = map[string]*grpc.ClientConn{}
-	}
-	r.conns[leader] = conn
-	return messenger.NewControlClient(conn), nil
-}
-
-// drop closes the connection to a leader that gave no answer.
-func (r *relays) drop(leader string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if conn, ok := r.conns[leader]; ok {
-		_ = conn.Close()
-		delete(r.conns, leader)
-	}
-}
-
-func (r *relays) close() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, conn := range r.conns {
-		_ = conn.Close()
-	}
-	r.conns = nil
-}
-
 // verdict is a reply of a host that may not be the leader.
 type verdict interface {
 	GetGranted() bool
@@ -121,16 +73,20 @@
 }
 
 func passOn[V verdict](ctx context.Context, s *Server, leader string, remote func(context.Context, messenger.ControlClient) (V, error)) (V, error) {
-	client, err := s.leaders.client(leader, s.settings.DialOptions)
+	var none V
+	addr, err := netip.ParseAddrPort(leader)
+	if err != nil {
+		return none, errors.Wrap(err, "address of the leader")
+	}
+	conn, err := s.leaders.Get(addr)
 	if err != nil {
-		var none V
 		return none, err
 	}
 	try, cancel := context.WithTimeout(ctx, relayTry)
 	defer cancel()
-	reply, err := remote(try, client)
+	reply, err := remote(try, messenger.NewControlClient(conn))
 	if code := status.Code(err); code == codes.DeadlineExceeded || code == codes.Unavailable {
-		s.leaders.drop(leader)
+		s.leaders.Drop(addr)
 	}
 	return reply, err
 }
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -51,7 +51,7 @@
 	// known holds the addresses of the members, for hosts that look for them.
 	known atomic.Pointer[[]string]
 	// leaders holds the connections to other hosts as leaders.
-	leaders relays
+	leaders messenger.Conns
 }
 
 // New opens the data folder. An empty one gets a new identity, under which the
@@ -161,7 +161,7 @@
 	rpc.Stop()
 	cancel()
 	group.Wait()
-	s.leaders.close()
+	s.leaders.Close()
 	return errors.Join(err, <-loopDone, s.journal.Close())
 }
 
--- a/internal/host/gateway/peers.go
+++ b/internal/host/gateway/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
-	"sync"
 
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/contrib/instrumentation/google.golang.org/grpc/otelgrpc"
@@ -18,34 +16,16 @@
 
 // peers holds one connection to each other entry host.
 type peers struct {
-	options []grpc.DialOption
-
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	conns messenger.Conns
 }
 
 func newPeers(traces *reporter.Traces) *peers {
 	handler := otelgrpc.NewClientHandler(traces.GRPC()...)
-	return &peers{options: []grpc.DialOption{grpc.WithStatsHandler(handler)}, conns: map[netip.AddrPort]*grpc.ClientConn{}}
-}
-
-func (p *peers) conn(m assigner.Member) (*grpc.ClientConn, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c, ok := p.conns[m.Address]; ok {
-		return c, nil
-	}
-	c, err := messenger.Dial(m.Address, p.options...)
-	if err != nil {
-		return nil, err
-	}
-	c.Connect()
-	p.conns[m.Address] = c
-	return c, nil
+	return &peers{conns: messenger.Conns{Options: []grpc.DialOption{grpc.WithStatsHandler(handler)}}}
 }
 
 func (p *peers) client(m assigner.Member) (messenger.EntryClient, error) {
-	c, err := p.conn(m)
+	c, err := p.conns.Get(m.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +35,7 @@
 // ready returns a client whose connection stands. Without it nothing was
 // sent, which is what ErrUnsent says.
 func (p *peers) ready(ctx context.Context, m assigner.Member) (messenger.EntryClient, error) {
-	c, err := p.conn(m)
+	c, err := p.conns.Get(m.Address)
 	if err != nil {
 		return nil, errors.Wrap(coordinator.ErrUnsent, err.Error())
 	}
--- /dev/null
+++ b/internal/protocol/messenger/conns.go
@@ -0,0 +1,58 @@
+package messenger
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/grpc"
+)
+
+// Conns holds one connection to each process that was asked for. The zero value is
+// ready to use; it is safe for concurrent use.
+type Conns struct {
+	// Options are those of new connections.
+	Options []grpc.DialOption
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// Get returns the connection to a process. A new one begins to connect at once.
+func (c *Conns) Get(addr netip.AddrPort) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[addr]; ok {
+		return conn, nil
+	}
+	conn, err := Dial(addr, c.Options...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial %s", addr)
+	}
+	conn.Connect()
+	if c.conns == nil {
+		c.conns = map[netip.AddrPort]*grpc.ClientConn{}
+	}
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+// Drop closes the connection to a process that gave no answer.
+func (c *Conns) Drop(addr netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[addr]; ok {
+		_ = conn.Close()
+		delete(c.conns, addr)
+	}
+}
+
+// Close closes all connections.
+func (c *Conns) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.conns = nil
+}
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"os"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -96,10 +94,8 @@
 	}
 	defer func() { <-memberFree }()
 	s.kill(p, pause, func() {
-		for i, m := range s.system.Members {
-			if m == p {
-				_ = os.RemoveAll(filepath.Join(s.system.Logs(), "data-"+string(rune('0'+i))))
-			}
+		if err := p.Wipe(); err != nil {
+			s.complain("wipe %s: %v", p.Name, err)
 		}
 	})
 	time.Sleep(touch)
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -154,10 +154,7 @@
 // client sends requests over connections that stay open until their host is
 // gone.
 func (s *soak) client(number int, stop chan struct{}) {
-	var hosts []*standin.Client
-	for _, address := range s.system.Entry {
-		hosts = append(hosts, &standin.Client{Address: address, Servers: s.service})
-	}
+	hosts := s.hosts()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -170,6 +167,15 @@
 	}
 }
 
+// hosts returns a client of each relay.
+func (s *soak) hosts() []*standin.Client {
+	var hosts []*standin.Client
+	for _, address := range s.system.Entry {
+		hosts = append(hosts, &standin.Client{Address: address, Servers: s.service})
+	}
+	return hosts
+}
+
 func (s *soak) request(c *standin.Client, id string) bool {
 	path := fmt.Sprint(s.intn(1000))
 	var o standin.Outcome
@@ -272,9 +278,9 @@
 	start := time.Now()
 	for {
 		served := 0
+		hosts := s.hosts()
 		for i := range recoveryProbes {
-			c := &standin.Client{Address: s.system.Entry[i%len(s.system.Entry)], Servers: s.service}
-			if s.request(c, fmt.Sprintf("%d-r%d-%d", s.seed, time.Since(start), i)) {
+			if s.request(hosts[i%len(hosts)], fmt.Sprintf("%d-r%d-%d", s.seed, time.Since(start), i)) {
 				served++
 			}
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,16 +24,22 @@
 // shortLength is the time with faults for each seed in a plain test run.
 const shortLength = 4 * time.Second
 
-// TestSeeds guards against faults that the soak found before: each line of the
-// file is a seed that failed once, with its cause, or one that CI plays always.
-func TestSeeds(t *testing.T) {
+// build builds the program into a new folder.
+func build(t *testing.T) (binary, root string) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
 	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
-	root := t.TempDir()
+	root = t.TempDir()
 	binary, err := standin.Build(root)
 	require.NoError(t, err)
+	return binary, root
+}
+
+// TestSeeds guards against faults that the soak found before: each line of the
+// file is a seed that failed once, with its cause, or one that CI plays always.
+func TestSeeds(t *testing.T) {
+	binary, root := build(t)
 	f, err := os.Open("testdata/seeds")
 	require.NoError(t, err)
 	defer func() { require.NoError(t, f.Close()) }()
@@ -55,13 +61,7 @@
 // and started in turn while clients, which keep their connections, go to the
 // ready ones.
 func TestRolling(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
-	root := t.TempDir()
-	binary, err := standin.Build(root)
-	require.NoError(t, err)
+	binary, root := build(t)
 	s, err := start(binary, folderOf(root, 90), 90)
 	require.NoError(t, err)
 	defer s.close()
@@ -86,10 +86,7 @@
 // and against names there that no process has. Those marked * appear with their
 // first event.
 func TestMetricsPage(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
-	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
+	binary, root := build(t)
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
 	require.NoError(t, err)
 	_, table, ok := strings.Cut(string(page), "## Metrics of relays and members")
@@ -102,14 +99,10 @@
 	}
 	require.NotEmpty(t, always)
 
-	root := t.TempDir()
-	binary, err := standin.Build(root)
-	require.NoError(t, err)
 	s, err := start(binary, folderOf(root, 91), 91)
 	require.NoError(t, err)
 	defer s.close()
-	for i, address := range s.system.Entry {
-		host := &standin.Client{Address: address, Servers: s.service}
+	for i, host := range s.hosts() {
 		for n := range 20 {
 			host.Search(fmt.Sprintf("metrics-%d-%d", i, n), "x")
 		}
@@ -138,10 +131,7 @@
 
 // roll sends requests to ready relays; every one that was sent has to be served.
 func (s *soak) roll(t *testing.T, number int, stop chan struct{}) {
-	var hosts []*standin.Client
-	for _, address := range s.system.Entry {
-		hosts = append(hosts, &standin.Client{Address: address, Servers: s.service})
-	}
+	hosts := s.hosts()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -20,6 +20,8 @@
 	settings string
 	log      string
 	binary   string
+	// data is the folder for durable state; relays have none.
+	data string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -83,6 +85,7 @@
 		if err != nil {
 			return s, err
 		}
+		p.data = data
 		s.Members = append(s.Members, p)
 		if err := p.Start(); err != nil {
 			return s, err
@@ -185,8 +188,8 @@
 	}
 }
 
-// Logs returns the folder of the processes' output.
-func (s *System) Logs() string { return s.folder }
+// Wipe removes the durable state of a process that does not run.
+func (p *Process) Wipe() error { return os.RemoveAll(p.data) }
 
 // IsReady asks one relay as the load balancer does.
 func (s *System) IsReady(relay int) bool {
