One page server, one reading of the port, shared watchers in tests

Pages of HTTP were set up in three places with a literal timeout. The port of seeds was read twice in members' settings, and in those of relays a missing one made seeds with port 0 instead of a fault. The tests of open groups share the search for the leader and the start of a watcher.

--- a/cmd/gentianpond/control.go
+++ b/cmd/gentianpond/control.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -63,10 +62,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Page)
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	page := &http.Server{Addr: s.Listen.String(), Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	var group runner.Group
 	group.Add(c.Run)
-	group.AddCloser(page.ListenAndServe, func() { _ = page.Close() })
+	addPage(&group, s.Listen, mux)
 	group.AddSignals(nil)
 	return group.Run()
 }
--- a/cmd/gentianpond/member.go
+++ b/cmd/gentianpond/member.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"net/http"
-	"net/netip"
 	"os"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -52,16 +49,10 @@
 	if err != nil {
 		return err
 	}
-	api := &http.Server{
-		Addr:              s.Listen.String(),
-		Handler:           platform.Control(c, s.Listen.Port(), logger),
-		ReadHeaderTimeout: 10 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-	}
 	var group runner.Group
 	group.Add(c.Run)
 	group.Add(logs.Run)
-	group.AddCloser(api.ListenAndServe, func() { _ = api.Close() })
+	addPage(&group, s.Listen, platform.Control(c, s.Listen.Port(), logger))
 	addMetrics(&group, metrics, s.Metrics)
 	group.AddReload(path, func() error {
 		fresh, err := loader.ReadMember(path)
@@ -73,14 +64,3 @@
 	group.AddSignals(func(ctx context.Context) { logger.Info("stopping") })
 	return group.Run()
 }
-
-// addMetrics serves the metrics page unless there is no address for it.
-func addMetrics(group *runner.Group, metrics *reporter.Metrics, address netip.AddrPort) {
-	if !address.IsValid() {
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", metrics.Page)
-	page := &http.Server{Addr: address.String(), Handler: mux, ReadHeaderTimeout: 10 * time.Second}
-	group.AddCloser(page.ListenAndServe, func() { _ = page.Close() })
-}
--- a/internal/control/server/open_test.go
+++ b/internal/control/server/open_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,6 +116,21 @@
 	}, patience, 20*time.Millisecond)
 }
 
+// follow starts a watcher that ends with the test.
+func (g *openGroup) follow(host string, seeds []netip.AddrPort) *subscriber.Watcher {
+	w := subscriber.NewWatcher(subscriber.WatcherConfig{
+		Host: host, Incarnation: 1, Seeds: seeds, Changed: func(subscriber.Watched) {}, Log: quiet(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- w.Run(ctx) }()
+	g.t.Cleanup(func() {
+		cancel()
+		require.ErrorIs(g.t, <-done, context.Canceled)
+	})
+	return w
+}
+
 // TestOpenGroup guards against a group that does not form without a list of
 // hosts, and against documents that a resend or an older version changes.
 func TestOpenGroup(t *testing.T) {
@@ -148,26 +164,15 @@
 	}
 	g.publish(g.nodes[g.seeds[0]].server, 1, "one")
 	for range 2 {
-		var leader netip.AddrPort
-		require.Eventually(t, func() bool {
-			for _, a := range g.seeds {
-				if status, err := g.nodes[a].server.Status(t.Context()); err == nil && status.GetRole() == replicator.RoleLeader.String() {
-					leader = a
-				}
-			}
-			return leader.IsValid()
-		}, patience, 5*time.Millisecond)
+		var all []*Server
+		for _, n := range g.nodes {
+			all = append(all, n.server)
+		}
+		leader := g.leader(all)
 		n := g.nodes[leader]
 		start := time.Now()
 		n.cancel()
-		require.Eventually(t, func() bool {
-			for _, a := range g.seeds {
-				if status, err := g.nodes[a].server.Status(t.Context()); a != leader && err == nil && status.GetRole() == replicator.RoleLeader.String() {
-					return true
-				}
-			}
-			return false
-		}, patience, time.Millisecond)
+		g.leader(slices.DeleteFunc(all, func(s *Server) bool { return s == n.server }))
 		require.Less(t, time.Since(start), openElection/2)
 		delete(g.nodes, leader)
 		require.NoError(t, <-n.done)
@@ -229,20 +234,7 @@
 	// is held.
 	const found = 250 * time.Millisecond
 	g := newOpenGroup(t)
-	follow := func(host string) (*subscriber.Watcher, func()) {
-		w := subscriber.NewWatcher(subscriber.WatcherConfig{
-			Host: host, Incarnation: 1, Seeds: g.seeds, Changed: func(subscriber.Watched) {}, Log: quiet(),
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- w.Run(ctx) }()
-		return w, func() {
-			cancel()
-			require.ErrorIs(t, <-done, context.Canceled)
-		}
-	}
-	early, stop := follow("early")
-	defer stop()
+	early := g.follow("early", g.seeds)
 	time.Sleep(100 * time.Millisecond)
 	var all []*Server
 	for _, a := range g.seeds {
@@ -251,8 +243,7 @@
 	g.leader(all)
 	g.publish(all[0], 1, "one")
 	require.Eventually(t, func() bool { return early.State().Version == 1 }, found, time.Millisecond)
-	late, stopLate := follow("late")
-	defer stopLate()
+	late := g.follow("late", g.seeds)
 	require.Eventually(t, func() bool { return late.State().Version == 1 }, found, time.Millisecond)
 }
 
@@ -264,16 +255,7 @@
 	for _, a := range g.seeds {
 		all = append(all, g.start(a, true))
 	}
-	w := subscriber.NewWatcher(subscriber.WatcherConfig{
-		Host: "entry", Incarnation: 1, Seeds: g.seeds[:1], Changed: func(subscriber.Watched) {}, Log: quiet(),
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan error, 1)
-	go func() { done <- w.Run(ctx) }()
-	defer func() {
-		cancel()
-		require.ErrorIs(t, <-done, context.Canceled)
-	}()
+	w := g.follow("entry", g.seeds[:1])
 	holds := func(check func(subscriber.Watched) bool) {
 		require.Eventually(t, func() bool { return check(w.State()) }, patience, 10*time.Millisecond)
 	}
@@ -316,7 +298,7 @@
 			}
 		}
 		return false
-	}, patience, 20*time.Millisecond)
+	}, patience, time.Millisecond)
 	return found
 }
 
--- a/internal/settings/loader/open.go
+++ b/internal/settings/loader/open.go
@@ -94,7 +94,7 @@
 		r.Zone = needName(o, "zone")
 		r.Listen = used.listen(o)
 		r.Ready = need(o, "ready", scanner.Node.Address)
-		r.Seeds = parseSeeds(o)
+		r.Seeds = parseSeeds(o, parsePort(o))
 		r.Ratio = need(o, "ratio", func(n scanner.Node) (float64, bool) { return n.Float(0, 1) })
 		r.Extra = int(need(o, "extra", func(n scanner.Node) (uint64, bool) { return n.Uint(0, maxExtra) }))
 		r.Window = need(o, "window", func(n scanner.Node) (time.Duration, bool) { return n.Duration(time.Second, time.Hour) })
@@ -120,9 +120,10 @@
 		m.Name = needName(o, "name")
 		m.Zone = needName(o, "zone")
 		m.Listen = used.listen(o)
-		m.Inner = netip.AddrPortFrom(m.Listen.Addr(), parsePort(o))
+		port := parsePort(o)
+		m.Inner = netip.AddrPortFrom(m.Listen.Addr(), port)
 		m.Data = need(o, "data", scanner.Node.String)
-		m.Seeds = parseSeeds(o)
+		m.Seeds = parseSeeds(o, port)
 		m.Bootstrap = need(o, "bootstrap", scanner.Node.Bool)
 		m.Losses = int(need(o, "losses", func(n scanner.Node) (uint64, bool) { return n.Uint(0, maxLosses) }))
 		if n, ok := o.Field("metrics"); ok {
@@ -147,7 +148,7 @@
 
 // parseSeeds turns the addresses at which operators reach control hosts into
 // inner ones: the inner port is the same on all hosts.
-func parseSeeds(o scanner.Object) []netip.AddrPort {
+func parseSeeds(o scanner.Object, port uint16) []netip.AddrPort {
 	n, ok := o.Need("control")
 	if !ok {
 		return nil
@@ -156,11 +157,6 @@
 	if ok && len(nodes) == 0 {
 		n.Fault("no control host is listed")
 	}
-	port := uint16(0)
-	if p, ok := o.Field("port"); ok {
-		v, _ := p.Uint(1, 65535)
-		port = uint16(v)
-	}
 	var list []netip.AddrPort
 	for _, n := range nodes {
 		if a, ok := n.Address(); ok && reachable(n, a) {
