Keep the slot of a cancelled request until the server has ended it

Cause: a request that was called off, such as the loser of a hedge, gave its slot back when its connection was closed. A busy server notices some milliseconds later, and the next request is one more than it has slots. The end of the connection is now told by closing the sending side, and the slot is free when the server ends it too, or after 200 ms. Requests of routes, whose servers need not take that for the end, are not concerned.

TestCancelledHoldsItsSlot fails without the change.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -135,12 +135,25 @@
 		}()
 	}
 	response, keep, err := c.read(r)
+	if err != nil && ctx.Err() != nil && r.Settle > 0 {
+		c.settle(r.Settle)
+	}
 	if err != nil {
 		return nil, false, err
 	}
 	return response, keep && written.Load(), nil
 }
 
+// settle tells the server that nobody waits and reads until it ends the connection,
+// for a limited time. Its outcome does not matter: the connection is closed next.
+func (c *conn) settle(limit time.Duration) {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil || c.raw.SetReadDeadline(time.Now().Add(limit)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, c.raw)
+}
+
 // read reads one answer. Keep is true when nothing follows it and the server
 // keeps the connection.
 func (c *conn) read(r *Request) (*Response, bool, error) {
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -70,6 +70,9 @@
 	// It may be nil.
 	Own  func(http.Header) bool
 	Body []byte
+	// Settle is how long Do waits, after ctx has ended, for the server to end the
+	// connection too. A server that has done so does not run the request any more.
+	Settle time.Duration
 }
 
 // Response is one complete answer.
--- a/internal/search/caller/caller.go
+++ b/internal/search/caller/caller.go
@@ -23,6 +23,11 @@
 	OrderPath  = "/order"
 )
 
+// settleLimit bounds the wait for a server to end a request that was called off. A
+// server that still runs it has no free slot for the next one; busy servers need some
+// milliseconds to notice.
+const settleLimit = 200 * time.Millisecond
+
 // Caller holds the connections to one incarnation of one backend server.
 type Caller struct {
 	host string
@@ -68,6 +73,7 @@
 		Host:   c.host,
 		Header: http.Header{"Content-Type": {"application/json"}},
 		Body:   data,
+		Settle: settleLimit,
 	})
 	switch {
 	case errors.Is(err, connector.ErrUnsent):
--- a/internal/search/caller/caller_test.go
+++ b/internal/search/caller/caller_test.go
@@ -5,11 +5,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,3 +177,31 @@
 	require.Equal(t, caller.Answered, c.Call(t.Context(), caller.SearchPath, message(f, 1)).Status)
 	require.EqualValues(t, 3, f.Stats().Opened)
 }
+
+// TestCancelledHoldsItsSlot guards against a slot that is given back while the server
+// still runs the request: busy servers need some time to notice that the caller left,
+// and the next request would be one too many.
+func TestCancelledHoldsItsSlot(t *testing.T) {
+	var running atomic.Int64
+	began := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		// The server notices the end of the connection once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(began)
+		<-r.Context().Done()
+		time.Sleep(30 * time.Millisecond)
+	}))
+	defer server.Close()
+	c := caller.New(server.Listener.Addr().(*net.TCPAddr).AddrPort(), 1)
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	res := c.Call(ctx, caller.SearchPath, caller.Message{Query: "q", Attempt: "1"})
+	require.Equal(t, caller.Cancelled, res.Status)
+	require.Zero(t, running.Load())
+}
