Bound the memory that the bytes of a backend server can take

Cause: http.ReadResponse reads a status line or a head of any length into memory, and a body could take 8 MiB a shard, allocated before a byte of it had come. One request took 461 to 932 MB on hosts of 184 MB, until its deadline.

Change: a connection reads within limits: 32 KiB for all heads of a request, interim responses included, and a share of an allowance per request (the setting answers, by default a 64th of the host's memory, 256 KiB to 4 MiB), which is part of one for the host (a quarter of its memory). The connection is closed at once, the failure is logged and counted (answers_too_large, answers_without_memory), and the server's standing falls unless the host itself had no memory left. A waiter that is woken while its request ends passes the permission on.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -15,24 +15,16 @@
 	"github.com/go-faster/errors"
 )
 
-const (
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 8 << 20
-	// maxSkippedResponses bounds the responses to earlier requests that are
-	// skipped before the one to the current request.
-	maxSkippedResponses = 2
-	// readBufferBytes is large enough for the headers and body of most responses.
-	readBufferBytes = 2 << 10
-	// maxDirectWriteBytes is the size up to which a request fits into the
-	// socket's send buffer, so that writing it does not block for long.
-	maxDirectWriteBytes = 8 << 10
-)
+// maxDirectWriteBytes is the size up to which a request fits into the socket's send
+// buffer, so that writing it does not block for long.
+const maxDirectWriteBytes = 8 << 10
 
 // conn is a connection to the backend server. One request uses it at a time.
 type conn struct {
-	// raw is the TCP connection, reader buffers what is read from it.
+	// raw is the TCP connection, reader buffers what is read from it within limits.
 	raw    net.Conn
 	reader *bufio.Reader
+	limits *limitedReader
 	// expiresAt is when the connection, if idle, is no longer used.
 	expiresAt time.Time
 }
@@ -40,7 +32,8 @@
 // newConn returns the connection over raw. It expires after defaultIdleTimeout; each
 // response sets a new time.
 func newConn(raw net.Conn) *conn {
-	return &conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), expiresAt: time.Now().Add(defaultIdleTimeout)}
+	limits := &limitedReader{raw: raw}
+	return &conn{raw: raw, limits: limits, reader: bufio.NewReaderSize(limits, readBufferBytes), expiresAt: time.Now().Add(defaultIdleTimeout)}
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
@@ -160,61 +153,3 @@
 	}
 	_, _ = io.Copy(io.Discard, c.raw)
 }
-
-// readResponse reads the response to r and skips responses to earlier requests.
-// The result is true if the connection can be kept: the server keeps it open, no
-// data follows the response and no other response was skipped.
-func (c *conn) readResponse(r *Request) (*Response, bool, error) {
-	if _, err := c.reader.Peek(1); err != nil {
-		return nil, false, errors.Join(ErrBroken, err)
-	}
-	request := &http.Request{Method: r.Method}
-	skipped := 0
-	for {
-		res, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, false, errors.Join(ErrBroken, err)
-		}
-		if res.StatusCode >= 100 && res.StatusCode < 200 && res.StatusCode != http.StatusSwitchingProtocols {
-			continue
-		}
-		body, err := readBody(res)
-		if err != nil {
-			// The caller closes the connection; closing the body would first read
-			// the rest of it.
-			return nil, false, errors.Join(ErrBroken, err)
-		}
-		if err := res.Body.Close(); err != nil {
-			return nil, false, errors.Join(ErrBroken, err)
-		}
-		if r.MatchesResponse != nil && !r.MatchesResponse(res.Header) && !res.Close && skipped < maxSkippedResponses {
-			skipped++
-			continue
-		}
-		// A connection that carried responses to other requests is not reused.
-		keep := !res.Close && c.reader.Buffered() == 0 && skipped == 0
-		return &Response{Status: res.StatusCode, Header: res.Header, Body: body}, keep, nil
-	}
-}
-
-// readBody reads the body of a response of at most maxResponseBytes.
-func readBody(res *http.Response) ([]byte, error) {
-	if res.ContentLength > maxResponseBytes {
-		return nil, errors.Errorf("response body of %d bytes exceeds the limit of %d bytes", res.ContentLength, maxResponseBytes)
-	}
-	if res.ContentLength >= 0 {
-		body := make([]byte, res.ContentLength)
-		if _, err := io.ReadFull(res.Body, body); err != nil {
-			return nil, errors.Wrap(err, "read response body")
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read response body")
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.Errorf("response body exceeds the limit of %d bytes", maxResponseBytes)
-	}
-	return body, nil
-}
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -73,6 +73,10 @@
 	// and the next one is read. Nil accepts every response.
 	MatchesResponse func(http.Header) bool
 	Body            []byte
+	// Allowance bounds the memory that the response takes beyond a small base. It may
+	// be shared by several requests, and a response holds its part until the caller
+	// closes it. Nil allows up to the limits of a response.
+	Allowance *Allowance
 	// CloseWait is how long Do waits, after ctx has ended, for the server to close
 	// the connection too. A server that has done so no longer runs the request.
 	CloseWait time.Duration
@@ -325,9 +329,14 @@
 		}
 	}
 	p.mu.Unlock()
-	// No longer in the queue: a connection, or nil, was sent at the same moment.
-	if c := <-wait; c != nil {
+	// No longer in the queue: a connection, or nil, was sent at the same moment. Both
+	// are passed on, because a connection may be opened or taken instead.
+	if c, ok := <-wait; c != nil {
 		p.release(c, false)
+	} else if ok {
+		p.mu.Lock()
+		p.wakeFirst()
+		p.mu.Unlock()
 	}
 	return nil, context.Cause(ctx)
 }
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -30,6 +30,9 @@
 	// clientIdleTimeout is how long a client's connection may stay idle. It is
 	// longer than any idle timeout announced to clients.
 	clientIdleTimeout = 2 * time.Minute
+	// answerMemoryDivisor is the reciprocal of the share of the host's memory that the
+	// answers of backend servers may hold at a time.
+	answerMemoryDivisor = 4
 	// balancerGraceShare is the share of the grace period during which a stopping
 	// host still accepts connections: the load balancer checks once a second and
 	// needs two failed checks to take the host out of service.
@@ -110,6 +113,8 @@
 		Codec:       a.Codec,
 		Budget:      relayer.Budget{Ratio: s.Ratio, ExtraPerWindow: s.Extra, Window: s.Window},
 		TransitTime: a.ClientMargin,
+		AnswerBytes: s.AnswerBytes,
+		HostBytes:   s.MemoryBytes / answerMemoryDivisor,
 		ControlAge:  func() time.Duration { return time.Since(f.watcher.State().LastReply) },
 		Log:         logger,
 		Scope:       scope.SubScope("relay"),
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"gentianpond/internal/backend/connector"
 )
 
 //go:generate go run golang.org/x/tools/cmd/stringer@v0.49.0 -type=Reason -linecomment -output=reason_string.go
@@ -62,4 +64,11 @@
 	MissingParts int
 	// RetryAfter is the time after which the client may retry a request that has not run.
 	RetryAfter time.Duration
+
+	// allowance is what the servers' answers were read within.
+	allowance *connector.Allowance
 }
+
+// Release returns the memory that the answer was read within to the host's allowance.
+// The caller calls it when the answer has been written.
+func (a Answer) Release() { a.allowance.Close() }
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -131,7 +131,8 @@
 }
 
 // selectorStatus returns the status that the selector records for the server of a
-// send. A server that refuses a request while it has free slots counts as failed.
+// send. A server that refuses a request while it has free slots counts as failed, one
+// whose answer found no memory on this host does not.
 func selectorStatus(res sendResult) selector.Status {
 	switch res.status {
 	case caller.Answered:
@@ -146,5 +147,8 @@
 	case caller.Cancelled, caller.Refused:
 		return selector.Cancelled
 	}
+	if errors.Is(res.err, connector.ErrExhausted) {
+		return selector.Cancelled
+	}
 	return selector.Failed
 }
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -141,6 +141,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	answer := q.run(ctx)
+	answer.allowance = q.request.Allowance
 	r.reportRequest(q, &request, answer)
 	return answer
 }
@@ -156,6 +157,7 @@
 		relayer: r,
 		request: &connector.Request{
 			Method: request.Method, Target: request.Target, Host: request.HostHeader, Header: request.Header, Body: request.Body,
+			Allowance: connector.NewAllowance(cmp.Or(r.config.AnswerBytes, defaultAnswerBytes), r.memory),
 		},
 		id:       request.ID,
 		route:    route,
@@ -310,6 +312,7 @@
 			s.failedResponse = res.response
 		}
 		if q.route.Kind != router.Safe {
+			q.relayer.reportSendFailure(q, res)
 			s.noMoreSends = true
 			return
 		}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -23,6 +23,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/router"
@@ -54,6 +55,9 @@
 	// initialHostCount is the number of hosts assumed until the control hosts
 	// report it.
 	initialHostCount = 64
+	// defaultAnswerBytes is the memory that the answers to one request may hold unless
+	// Config.AnswerBytes is set.
+	defaultAnswerBytes = 4 << 20
 	// connectionFraction is the fraction of a server's connection limit that is
 	// divided among the hosts. The rest covers hosts that join and connections
 	// that are being closed.
@@ -116,6 +120,10 @@
 	// TransitTime is the network time between the client and this host, both ways. An
 	// answer is sent this long before the latency objective ends.
 	TransitTime time.Duration
+	// AnswerBytes bounds the memory that the answers of all servers to one request may
+	// hold, and HostBytes that of all requests. 0 means defaultAnswerBytes and no bound.
+	AnswerBytes int64
+	HostBytes   int64
 	// ControlAge returns the time since the last message from the control hosts. It is
 	// nil if that is unknown.
 	ControlAge func() time.Duration
@@ -129,6 +137,8 @@
 	config Config
 	// routing is the current routing state. Update replaces it.
 	routing atomic.Pointer[routingState]
+	// memory is the allowance for the answers to all requests, nil without a bound.
+	memory *connector.Allowance
 	// runCtx is the context of the first Update. It ends when the host stops.
 	runCtx atomic.Pointer[context.Context]
 
@@ -164,6 +174,9 @@
 		hostCount: initialHostCount,
 		rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	if c.HostBytes > 0 {
+		r.memory = connector.NewAllowance(c.HostBytes, nil)
+	}
 	r.routing.Store(&routingState{servers: map[string]*server{}})
 	r.selector.ExtraLatency = func(name string) time.Duration {
 		if s := r.routing.Load().servers[name]; s == nil || s.pool.HasIdle() {
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/search/caller"
 )
 
@@ -85,6 +88,12 @@
 	if res.status == caller.Cancelled || res.status == caller.Refused {
 		return
 	}
+	switch {
+	case errors.Is(res.err, connector.ErrTooLarge):
+		r.config.Scope.Counter("answers_too_large").Inc(1)
+	case errors.Is(res.err, connector.ErrExhausted):
+		r.config.Scope.Counter("answers_without_memory").Inc(1)
+	}
 	status := 0
 	if res.response != nil {
 		status = res.response.Status
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -23,6 +23,16 @@
 	// minCoreShare and maxCoreShare bound the number of CPU cores that a host has.
 	minCoreShare = 0.01
 	maxCoreShare = 1024
+	// defaultMemoryMiB is the memory of a host whose settings name none, and
+	// maxMemoryMiB the most that they may name.
+	defaultMemoryMiB = 256
+	maxMemoryMiB     = 1 << 20
+	// answersPerMemory is how many requests may hold all that their answers are allowed
+	// before these fill the memory of the host.
+	answersPerMemory = 64
+	// minAnswerBytes and maxAnswerBytes bound the memory for the answers to a request.
+	minAnswerBytes = 256 << 10
+	maxAnswerBytes = 4 << 20
 )
 
 // RelaySettings holds the settings of an entry host that forwards requests by a routing
@@ -50,6 +60,10 @@
 	// Share is the number of CPU cores that the host has, such as 0.5; 1 if it is
 	// not given.
 	Share float64
+	// MemoryBytes is the memory that the host has. AnswerBytes is the memory that the
+	// answers of backend servers to one request may hold.
+	MemoryBytes int64
+	AnswerBytes int64
 	// Metrics is the address of the metrics page. The zero value means no page.
 	Metrics netip.AddrPort
 }
@@ -97,7 +111,7 @@
 func ParseRelay(name string, text []byte) (RelaySettings, error) {
 	s, root := scanner.Parse(name, text)
 	r := RelaySettings{Grace: DefaultGrace, Share: 1}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "window", "share", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
 		var used usedAddresses
 		r.Name = readRequiredName(o, "name")
 		r.Zone = readRequiredName(o, "zone")
@@ -113,6 +127,16 @@
 		if n, ok := o.Field("share"); ok {
 			r.Share, _ = n.Float(minCoreShare, maxCoreShare)
 		}
+		r.MemoryBytes = defaultMemoryMiB << 20
+		if n, ok := o.Field("memory"); ok {
+			mib, _ := n.Uint(1, maxMemoryMiB)
+			r.MemoryBytes = int64(mib) << 20
+		}
+		r.AnswerBytes = min(max(r.MemoryBytes/answersPerMemory, minAnswerBytes), maxAnswerBytes)
+		if n, ok := o.Field("answers"); ok {
+			kib, _ := n.Uint(minAnswerBytes>>10, maxAnswerBytes>>10)
+			r.AnswerBytes = int64(kib) << 10
+		}
 		if n, ok := o.Field("metrics"); ok {
 			r.Metrics, _ = n.Address()
 		}
