--- a/cmd/gentianpond/member.go
+++ b/cmd/gentianpond/member.go
@@ -38,7 +38,7 @@
 func runMemberHost(path string, s loader.MemberSettings) (err error) {
 	metrics := reporter.NewMetrics()
 	defer func() { err = errors.Join(err, metrics.Close()) }()
-	logger, logWriter := reporter.NewAsyncLogger(os.Stdout, "control "+s.Name)
+	logger, logWriter := reporter.NewAsyncLogger(os.Stdout, "control "+s.Name, metrics.Scope)
 	logger.Info("starting", "zone", s.Zone, "listen", s.Listen, "inner", s.Inner, "seeds", s.Seeds, "bootstrap", s.Bootstrap)
 	c, err := server.New(server.Settings{
 		Name:      s.Inner.Addr().String(),
--- a/cmd/gentianpond/relay.go
+++ b/cmd/gentianpond/relay.go
@@ -47,7 +47,7 @@
 func runRelayHost(path string, s loader.RelaySettings) (err error) {
 	metrics := reporter.NewMetrics()
 	defer func() { err = errors.Join(err, metrics.Close()) }()
-	logger, logWriter := reporter.NewAsyncLogger(os.Stdout, "relay "+s.Name)
+	logger, logWriter := reporter.NewAsyncLogger(os.Stdout, "relay "+s.Name, metrics.Scope)
 	f, err := forwarder.New(s, forwarder.Adapter{
 		DecodeDocument:      platform.DecodeDocument,
 		NewEntryHandler:     func(r forwarder.RequestRelayer) http.Handler { return platform.NewEntryHandler(r) },
--- a/internal/control/journaler/journal.go
+++ b/internal/control/journaler/journal.go
@@ -1,6 +1,7 @@
 package journaler
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
@@ -62,8 +63,11 @@
 	lastBatch uint64
 	// sizeLimit is segmentSizeLimit; tests use a smaller one.
 	sizeLimit int64
-	// failure is returned by all further calls once it is set.
+	// failure is returned by all further calls once it is set, except that Save accepts
+	// unsavedBatch again after ErrDiskFull.
 	failure error
+	// unsavedBatch is the encoded batch whose write failed.
+	unsavedBatch []byte
 }
 
 // Create creates the data folder if needed and writes a new identity to it,
@@ -313,10 +317,14 @@
 }
 
 // Save stores a batch and returns once it is durable. After ErrOutOfSequence
-// the journal remains usable; after any other error it accepts nothing more.
-// The next Open may or may not find the failed batch, but never a part of it.
+// the journal remains usable. After ErrDiskFull it accepts only the same batch again,
+// which overwrites what the failed write may have left. After any other error it
+// accepts nothing more. The next Open may or may not find the failed batch, but never
+// a part of it.
 func (j *Journal) Save(b Batch) error {
-	if j.failure != nil {
+	encoded := appendBatch(nil, b)
+	retry := errors.Is(j.failure, ErrDiskFull) && bytes.Equal(encoded, j.unsavedBatch)
+	if j.failure != nil && !retry {
 		return errors.Wrap(j.failure, "save batch")
 	}
 	if b.Empty() {
@@ -325,22 +333,24 @@
 	if err := j.state.checkBatch(b); err != nil {
 		return errors.Wrap(err, "save batch")
 	}
-	if err := j.writeBatch(b); err != nil {
-		j.failure = err
+	if err := j.writeBatch(encoded); err != nil {
+		j.failure, j.unsavedBatch = err, encoded
 		return errors.Wrap(err, "save batch")
 	}
+	j.failure, j.unsavedBatch = nil, nil
 	j.state.applyBatch(b)
 	return nil
 }
 
-// writeBatch writes and syncs a batch, in a new segment if the last one is full.
-func (j *Journal) writeBatch(b Batch) error {
+// writeBatch writes and syncs an encoded batch, in a new segment if the last one is
+// full.
+func (j *Journal) writeBatch(encoded []byte) error {
 	if j.activeSize >= j.sizeLimit {
 		if err := j.rollSegment(); err != nil {
 			return err
 		}
 	}
-	raw := appendPages(nil, j.activeSequence, j.lastBatch+1, appendBatch(nil, b))
+	raw := appendPages(nil, j.activeSequence, j.lastBatch+1, encoded)
 	if _, err := j.activeFile.WriteAt(raw, j.activeSize); err != nil {
 		return wrapWriteError(err)
 	}
--- a/internal/control/journaler/journal_test.go
+++ b/internal/control/journaler/journal_test.go
@@ -303,6 +303,25 @@
 	require.NoError(t, j.Save(Batch{Records: makeRecords(4, 1)}))
 }
 
+// Guards against a journal that refuses the batch for good that found the disk full,
+// although there is room again.
+func TestFullDiskRetry(t *testing.T) {
+	d, j := openOnFake(t)
+	require.NoError(t, j.Save(Batch{Records: makeRecords(1, 3)}))
+	d.freeBytes = 700
+	batch := Batch{Records: makeRecords(4, 30)}
+	require.ErrorIs(t, j.Save(batch), ErrDiskFull)
+	require.ErrorIs(t, j.Save(batch), ErrDiskFull)
+	d.freeBytes = -1
+	require.ErrorIs(t, j.Save(Batch{Records: makeRecords(4, 1)}), ErrDiskFull, "another batch may leave a part of the first behind")
+	require.NoError(t, j.Save(batch))
+	require.NoError(t, j.Save(Batch{Records: makeRecords(34, 1)}))
+	require.NoError(t, j.Close())
+	_, state, err := OpenOn(d, testFolder)
+	require.NoError(t, err)
+	require.Len(t, state.Records, 34)
+}
+
 // Guards against accepting a gap in the log or an older snapshot from a faulty
 // caller.
 func TestSaveRefusesGap(t *testing.T) {
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -25,11 +25,6 @@
 	// maxHeaderBytes bounds the request line and headers. A routing table may set a
 	// lower limit.
 	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time to read the headers of a request.
-	headerTimeout = 10 * time.Second
-	// clientIdleTimeout is how long a client's connection may stay idle. It is
-	// longer than any idle timeout announced to clients.
-	clientIdleTimeout = 2 * time.Minute
 	// answerMemoryDivisor is the reciprocal of the share of the host's memory that the
 	// answers of backend servers may hold at a time.
 	answerMemoryDivisor = 4
@@ -82,7 +77,7 @@
 	clientServer *http.Server
 	// readinessServer serves the load balancer's health checks on readinessListener.
 	readinessServer   *http.Server
-	clientListener    net.Listener
+	clientListener    *clientListener
 	readinessListener net.Listener
 	// draining is set by Drain.
 	draining atomic.Bool
@@ -107,7 +102,8 @@
 	if err != nil {
 		return nil, errors.Join(errors.Wrap(err, "listen for readiness checks"), listen.Close())
 	}
-	f := &Forwarder{settings: s, adapter: a, log: logger, clientListener: listen, readinessListener: ready, drained: make(chan struct{})}
+	f := &Forwarder{settings: s, adapter: a, log: logger, readinessListener: ready, drained: make(chan struct{})}
+	f.clientListener = newClientListener(listen, f.clientTimeouts)
 	f.relayer = relayer.New(relayer.Config{
 		Zone:        s.Zone,
 		Codec:       a.Codec,
@@ -123,8 +119,9 @@
 		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Log: logger,
 	})
 	f.clientServer = &http.Server{
-		Handler:           f.closeWhileDraining(a.NewEntryHandler(transitRelayer{f})),
+		Handler:           f.limitBody(a.NewEntryHandler(transitRelayer{f})),
 		ConnContext:       withClientConn,
+		ConnState:         stateChanged,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       clientIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -152,15 +149,16 @@
 // serve runs a server until it is closed, and during a drain until Drain returns.
 func (f *Forwarder) serve(s *http.Server, l net.Listener) error {
 	err := s.Serve(l)
-	if !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	// Serve returns as soon as Drain starts to wait for requests in flight. Returning
-	// here would end the run group and with it the process.
+	// Serve returns as soon as Drain closes the listener. Returning here would end the
+	// run group and with it the process.
 	if f.draining.Load() {
 		<-f.drained
+		return runner.ErrStopped
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return runner.ErrStopped
 	}
-	return runner.ErrStopped
+	return err
 }
 
 // SetSeeds replaces the seeds with those of the reloaded settings.
@@ -187,10 +185,23 @@
 	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers, w.EntryHosts)
 }
 
-// closeWhileDraining asks clients to close their connections while the host is
-// draining.
-func (f *Forwarder) closeWhileDraining(next http.Handler) http.Handler {
+// clientTimeouts returns the limits of the routing table in force for the headers of a
+// request and for idle connections, 0 where there is none.
+func (f *Forwarder) clientTimeouts() (header, idle time.Duration) {
+	if t := f.relayer.Table(); t != nil {
+		return t.Limits.HeaderTimeout, t.Limits.IdleTimeout
+	}
+	return 0, 0
+}
+
+// limitBody limits the time to read the body of a request, and asks clients to close
+// their connections while the host is draining.
+func (f *Forwarder) limitBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connOf(r.Context()); c != nil && r.ContentLength != 0 {
+			// An error means that the client has disconnected.
+			_ = c.Conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+		}
 		if f.draining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -211,7 +222,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, start.Add(time.Duration(shutdownGraceShare*float64(f.settings.Grace))))
 	defer cancel()
-	if err := f.clientServer.Shutdown(ctx); err != nil {
+	// Accept fails from here on; Serve waits for this function. The listener is closed
+	// again by Shutdown.
+	_ = f.clientListener.Close()
+	f.clientListener.closeIdle(ctx)
+	if err := f.clientServer.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		f.log.Warn("requests in flight were aborted", "err", err)
 	}
 	f.log.Info("stopped")
--- a/internal/host/forwarder/transit.go
+++ b/internal/host/forwarder/transit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,27 +17,12 @@
 // first. A host with a fifth of a core needs five times as long.
 const responseCPUTime = 1700 * time.Microsecond
 
-// clientConn is a client's connection and the number of requests on it whose
-// transit time was computed.
-type clientConn struct {
-	conn     net.Conn
-	requests atomic.Int64
-}
-
-// clientConnKey is the context key of a request's clientConn.
-type clientConnKey struct{}
-
-// withClientConn adds the client's connection to the context of its requests.
-func withClientConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, &clientConn{conn: c})
-}
-
 // transitTime returns the time that a request and its response spend between client
 // and host: one round trip, another one if the client opened the connection for the
 // request, and the CPU time of the response on a host that has coreShare of a core.
 // It returns fallback if the round trip is not known, and never more than that.
 func (c *clientConn) transitTime(fallback time.Duration, coreShare float64) time.Duration {
-	rtt, ok := kernelRTT(c.conn)
+	rtt, ok := kernelRTT(c.Conn)
 	if !ok {
 		return fallback
 	}
@@ -68,12 +52,14 @@
 }
 
 // transitRelayer is the RequestRelayer of a Forwarder. It sets the transit time of
-// each request.
+// each request and ends the limit for reading its body.
 type transitRelayer struct{ *Forwarder }
 
 // Do relays a request.
 func (e transitRelayer) Do(ctx context.Context, r relayer.Request) relayer.Answer {
-	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok {
+	if c := connOf(ctx); c != nil {
+		// An error means that the client has disconnected, which ends ctx.
+		_ = c.Conn.SetReadDeadline(time.Time{})
 		r.TransitTime = c.transitTime(e.adapter.ClientMargin, e.settings.Share)
 	}
 	return e.relayer.Do(ctx, r)
--- a/internal/host/forwarder/transit_test.go
+++ b/internal/host/forwarder/transit_test.go
@@ -22,12 +22,12 @@
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
 	const fallback = 15 * time.Millisecond
-	c := &clientConn{conn: conn}
+	c := &clientConn{Conn: conn}
 	near := c.transitTime(fallback, 1)
 	require.Less(t, near, fallback/2)
 	require.GreaterOrEqual(t, near, responseCPUTime)
 	require.GreaterOrEqual(t, c.transitTime(fallback, 0.2), 5*responseCPUTime)
 	require.LessOrEqual(t, c.transitTime(fallback, 0.01), fallback)
 	pipe, _ := net.Pipe()
-	require.Equal(t, fallback, (&clientConn{conn: pipe}).transitTime(fallback, 1), "the round trip is not known")
+	require.Equal(t, fallback, (&clientConn{Conn: pipe}).transitTime(fallback, 1), "the round trip is not known")
 }
--- a/internal/host/gateway/control.go
+++ b/internal/host/gateway/control.go
@@ -51,6 +51,8 @@
 		// The control hosts check documents with the same code before they
 		// accept them, so this host runs another version of the program.
 		g.log.Error("configuration cannot be decoded, this host needs the leader's version", "revision", revision, "err", err)
+		g.currentConfig.Store(&configuration{revision: revision, unusable: true})
+		return
 	}
 	g.currentConfig.Store(&configuration{revision: revision, document: document})
 	g.log.Info("configuration in force", "revision", revision)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -118,6 +118,9 @@
 	revision uint64
 	// document is the decoded configuration document.
 	document checker.Document
+	// unusable is set if this host cannot decode the document. It then refuses
+	// requests, because the configuration before it is no longer in force.
+	unusable bool
 }
 
 // New returns an entry host that listens on its addresses. It serves requests once
--- a/internal/host/gateway/http.go
+++ b/internal/host/gateway/http.go
@@ -45,6 +45,8 @@
 		reason = "no lease from the control hosts"
 	case g.coordinator.Directory() == nil:
 		reason = "no configuration yet"
+	case g.currentConfig.Load().unusable:
+		reason = "the configuration cannot be decoded"
 	}
 	if reason != "" {
 		http.Error(w, reason, http.StatusServiceUnavailable)
@@ -116,6 +118,9 @@
 	if !g.control.State().LeaseCovers(now) {
 		return admission{}, newRefusal(CodeNoLease, "this host has no lease from the control hosts, its configuration may be out of date")
 	}
+	if c := g.currentConfig.Load(); c != nil && c.unusable {
+		return admission{}, newRefusal(CodeNoLease, "this host cannot decode the configuration in force")
+	}
 	settings, ok := g.coordinator.Directory().ArchiveSettings(archive)
 	if !ok {
 		return admission{}, newRefusal(CodeUnknownArchive, "no team has configured the archive "+archive)
--- a/internal/host/gateway/loops.go
+++ b/internal/host/gateway/loops.go
@@ -65,7 +65,7 @@
 // view or the configuration has changed.
 func (g *Gateway) refresh(now time.Time) {
 	config := g.currentConfig.Load()
-	if config == nil {
+	if config == nil || config.unusable {
 		return
 	}
 	g.refreshMu.Lock()
--- a/internal/host/gateway/suspicions.go
+++ b/internal/host/gateway/suspicions.go
@@ -42,7 +42,7 @@
 
 // record adds the crash of a server that was running the request, or removes the
 // suspicion if the request completed alone. It reports whether a crash made the
-// verdict stricter.
+// verdict stricter, which a crash that is not recorded never does.
 func (s *suspicions) record(now time.Time, o dispatcher.Observation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,9 +58,10 @@
 	if len(s.byFingerprint) >= maxSuspicions {
 		s.removeExpired(now)
 	}
-	if len(s.byFingerprint) < maxSuspicions {
-		s.byFingerprint[o.Fingerprint] = suspicion{lastCrash: now, crashedAlone: o.Alone || ok && earlier.crashedAlone}
+	if _, held := s.byFingerprint[o.Fingerprint]; !held && len(s.byFingerprint) >= maxSuspicions {
+		return false
 	}
+	s.byFingerprint[o.Fingerprint] = suspicion{lastCrash: now, crashedAlone: o.Alone || ok && earlier.crashedAlone}
 	return !ok || o.Alone && !earlier.crashedAlone
 }
 
--- a/internal/observe/reporter/asyncwriter.go
+++ b/internal/observe/reporter/asyncwriter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"gentianpond/internal/value/container"
 )
@@ -34,8 +35,10 @@
 	queue container.Ring[[]byte]
 	// wake tells Run that lines are queued.
 	wake chan struct{}
-	// dropped counts the lines that exceeded a limit or could not be written.
-	dropped atomic.Uint64
+	// dropped counts the lines that exceeded a limit or could not be written, and
+	// droppedMetric does so on the metrics page.
+	dropped       atomic.Uint64
+	droppedMetric tally.Counter
 	// tokens is the number of lines that the rate limit admitted at refillTime.
 	tokens float64
 	// refillTime is when tokens was last brought up to date.
@@ -43,9 +46,10 @@
 }
 
 // NewAsyncLogger returns a logger that never waits for out, and the writer, whose Run has to
-// be called. Lines are in the logfmt format and limited in rate.
-func NewAsyncLogger(out io.Writer, prefix string) (*log.Logger, *AsyncWriter) {
-	w := &AsyncWriter{out: out, queue: container.NewRing[[]byte](maxQueuedLines), wake: make(chan struct{}, 1), tokens: maxBurstLines, refillTime: time.Now()}
+// be called. Lines are in the logfmt format and limited in rate. Those that are dropped
+// are counted in scope.
+func NewAsyncLogger(out io.Writer, prefix string, scope tally.Scope) (*log.Logger, *AsyncWriter) {
+	w := &AsyncWriter{out: out, droppedMetric: scope.Counter("log_lines_dropped"), queue: container.NewRing[[]byte](maxQueuedLines), wake: make(chan struct{}, 1), tokens: maxBurstLines, refillTime: time.Now()}
 	logger := log.NewWithOptions(w, log.Options{
 		Prefix:          prefix,
 		ReportTimestamp: true,
@@ -65,7 +69,7 @@
 	w.tokens = min(maxBurstLines, w.tokens+now.Sub(w.refillTime).Seconds()*maxLinesPerSecond)
 	w.refillTime = now
 	if w.tokens < 1 || !w.queue.Push(line) {
-		w.dropped.Add(1)
+		w.countDropped()
 		return len(p), nil
 	}
 	w.tokens--
@@ -79,6 +83,12 @@
 // Dropped returns the number of lines that exceeded a limit or could not be written.
 func (w *AsyncWriter) Dropped() uint64 { return w.dropped.Load() }
 
+// countDropped counts a line that is lost.
+func (w *AsyncWriter) countDropped() {
+	w.dropped.Add(1)
+	w.droppedMetric.Inc(1)
+}
+
 // Run writes queued lines until ctx ends, and then those that are left.
 func (w *AsyncWriter) Run(ctx context.Context) error {
 	for {
@@ -103,7 +113,7 @@
 		}
 		if _, err := w.out.Write(line); err != nil {
 			// The log itself fails, so that the error can only be counted.
-			w.dropped.Add(1)
+			w.countDropped()
 		}
 	}
 }
--- a/internal/observe/reporter/asyncwriter_test.go
+++ b/internal/observe/reporter/asyncwriter_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 )
 
 // blockedWriter is a writer that blocks until release is closed.
@@ -28,7 +29,8 @@
 // the logs stops reading, and against lines that are dropped without being counted.
 func TestBlockedOutput(t *testing.T) {
 	out := &blockedWriter{release: make(chan struct{})}
-	logger, w := NewAsyncLogger(out, "test")
+	scope := tally.NewTestScope("", nil)
+	logger, w := NewAsyncLogger(out, "test", scope)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- w.Run(ctx) }()
@@ -44,5 +46,6 @@
 	require.ErrorIs(t, <-done, context.Canceled)
 	out.mu.Lock()
 	defer out.mu.Unlock()
+	require.EqualValues(t, w.Dropped(), scope.Snapshot().Counters()["log_lines_dropped+"].Value())
 	require.EqualValues(t, lines, uint64(strings.Count(out.text.String(), "\n"))+w.Dropped())
 }
--- a/internal/route/gatherer/gatherer.go
+++ b/internal/route/gatherer/gatherer.go
@@ -5,7 +5,8 @@
 // late in most requests. Until the soft deadline, waiting for another part makes the
 // answer more complete at no cost. At the soft deadline, a nearly complete answer in
 // time is better for the client than a complete one that is late. After the objective
-// has been missed, a bounded wait for completeness is worthwhile.
+// has been missed for lack of parts, a bounded wait for completeness is worthwhile; an
+// answer that was ready in time is sent even if this host is late to do so.
 package gatherer
 
 import "time"
@@ -44,9 +45,10 @@
 }
 
 // Decide returns what to do at the time now. parts is the number of parts that have
-// arrived, openShards the number of shards from which one may still come. With Wait it
-// returns when to decide again if no part arrives before, otherwise now.
-func (p Plan) Decide(now time.Time, parts, openShards int) (Verdict, time.Time) {
+// arrived, openShards the number of shards from which one may still come. enoughSince is
+// when MinParts was reached, the zero value before. With Wait it returns when to decide
+// again if no part arrives before, otherwise now.
+func (p Plan) Decide(now, enoughSince time.Time, parts, openShards int) (Verdict, time.Time) {
 	switch {
 	case parts >= p.Shards:
 		return Reply, now
@@ -61,7 +63,7 @@
 	if now.Before(p.SoftDeadline) {
 		return Wait, p.SoftDeadline
 	}
-	if p.objectiveMissed(now) {
+	if p.objectiveMissed(now) && p.objectiveMissed(enoughSince) {
 		lateLimit := earlier(p.Start.Add(lateWaitObjectives*p.Objective), p.HardDeadline)
 		if now.Before(lateLimit) {
 			return Wait, lateLimit
@@ -70,8 +72,8 @@
 	return Reply, now
 }
 
-// objectiveMissed reports whether the objective has passed.
-func (p Plan) objectiveMissed(now time.Time) bool { return now.After(p.Start.Add(p.Objective)) }
+// objectiveMissed reports whether the objective has passed at the time at.
+func (p Plan) objectiveMissed(at time.Time) bool { return at.After(p.Start.Add(p.Objective)) }
 
 // finalVerdict returns the verdict when no further part is awaited.
 func (p Plan) finalVerdict(parts int) Verdict {
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -27,6 +27,8 @@
 	BodyTooLong // body too long
 	// Unreadable means that the body ended early.
 	Unreadable // unreadable
+	// BodyTimedOut means that the body did not arrive in time.
+	BodyTimedOut // body timed out
 	// NoServer means that there was no server to which the request could be sent.
 	NoServer // no server
 	// Shed means that every server to which the request was sent refused it or could
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -28,6 +28,8 @@
 	metadata AnswerMetadata
 	// latency is the time until the response arrived or the send failed.
 	latency time.Duration
+	// arrivedAt is when that was.
+	arrivedAt time.Time
 	// err tells why there is no response. A response with an error status is none.
 	err error
 }
@@ -44,7 +46,8 @@
 	}
 	request.MatchesResponse = func(h http.Header) bool { return q.relayer.config.Codec.RequestID(h) == q.id }
 	response, err := s.pool.Do(ctx, &request)
-	r := sendResult{shard: shard, server: s, response: response, err: err, latency: time.Since(start)}
+	r := sendResult{shard: shard, server: s, response: response, err: err, arrivedAt: time.Now()}
+	r.latency = r.arrivedAt.Sub(start)
 	if err == nil {
 		r.metadata = q.relayer.config.Codec.Decode(response.Status, response.Header)
 	}
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -14,18 +14,19 @@
 	_ = x[HeaderTooLong-3]
 	_ = x[BodyTooLong-4]
 	_ = x[Unreadable-5]
-	_ = x[NoServer-6]
-	_ = x[Shed-7]
-	_ = x[Overload-8]
-	_ = x[Expired-9]
-	_ = x[Broken-10]
-	_ = x[TimedOut-11]
-	_ = x[ClientLeft-12]
+	_ = x[BodyTimedOut-6]
+	_ = x[NoServer-7]
+	_ = x[Shed-8]
+	_ = x[Overload-9]
+	_ = x[Expired-10]
+	_ = x[Broken-11]
+	_ = x[TimedOut-12]
+	_ = x[ClientLeft-13]
 }
 
-const _Reason_name = "servednot readyno routeheader too longbody too longunreadableno servershedoverloadexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 70, 74, 82, 89, 95, 104, 115}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 103, 109, 118, 129}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -98,8 +98,8 @@
 	// that of a request body; 0 means no limit.
 	HeaderBytes int
 	BodyBytes   int
-	// HeaderTimeout and IdleTimeout are the values of the routing document. Entry
-	// hosts do not apply them; their timeouts are fixed.
+	// HeaderTimeout bounds the time to read the headers of a request, and IdleTimeout
+	// how long a connection may stay idle; 0 means the defaults of the entry host.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
--- a/test/standin/client.go
+++ b/test/standin/client.go
@@ -85,10 +85,6 @@
 	r.Host = host
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Deadline-Milliseconds", "2000")
-	// An empty Idempotency-Key entry is not sent, but marks the request as
-	// idempotent for net/http, which may then send it again, also a POST, if a
-	// kept-alive connection has ended.
-	r.Header["Idempotency-Key"] = nil
 	c.http.Timeout = 2500 * time.Millisecond
 	res, err := c.http.Do(r)
 	if err != nil {
