Report ready only when routes can be served, confirm the first state, part requests without id

Cause: a relay reported ready with its first routing table, before backend servers had checked in; its first requests got 503. It now waits, 3 s at most, until it knows servers for enough shards of every route.

Cause: a former leader that does not know yet that it was replaced, such as a process that was paused, gave its old registry to an entry host that had just started; a server that had left was in use again. A reply to a host without any state now needs the confirmation of a majority.

Requests without id. Cause: a late second copy of an answer to a request without id could not be told from the answer to the next such request on the connection. They go over connections of their own. Seen failing: TestExclusive without the two checks.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -25,6 +25,8 @@
 	raw    net.Conn
 	reader *bufio.Reader
 	limits *limitedReader
+	// used is true once a request has been sent.
+	used bool
 	// expiresAt is when the connection, if idle, is no longer used.
 	expiresAt time.Time
 }
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -73,6 +73,10 @@
 	// and the next one is read. Nil accepts every response.
 	MatchesResponse func(http.Header) bool
 	Body            []byte
+	// Exclusive sends the request on a new connection, which takes no other request. It
+	// is for requests to which MatchesResponse cannot assign a response, because they
+	// have no id: the response to an earlier one may arrive late.
+	Exclusive bool
 	// Allowance bounds the memory that the response takes beyond a small base. It may
 	// be shared by several requests, and a response holds its part until the caller
 	// closes it. Nil allows up to the limits of a response.
@@ -237,15 +241,20 @@
 // wrap ErrUnsent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.acquire(ctx)
+	for err == nil && r.Exclusive && c.used {
+		p.discard(c)
+		c, err = p.acquire(ctx)
+	}
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
+	c.used = true
 	response, reusable, err := c.exchange(ctx, r)
 	if err != nil {
 		p.discard(c)
 		return nil, err
 	}
-	if !reusable {
+	if !reusable || r.Exclusive {
 		p.discard(c)
 		return response, nil
 	}
--- a/internal/backend/connector/connector_test.go
+++ b/internal/backend/connector/connector_test.go
@@ -343,3 +343,36 @@
 	require.Equal(t, defaultIdleTimeout, idleTimeoutFrom(http.Header{}))
 	require.Equal(t, defaultIdleTimeout, idleTimeoutFrom(http.Header{"Keep-Alive": {"timeout=soon"}}))
 }
+
+// TestExclusive guards against a second copy of a response that arrives late, while the
+// connection is in use again, and is taken for the response to the next request: without
+// an id the two cannot be told apart.
+func TestExclusive(t *testing.T) {
+	p := New(serveConns(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if n > 0 {
+				writeResponse(c, "", "again")
+			}
+			writeResponse(c, "", q.URL.Path)
+		}
+	}), 1)
+	for _, path := range []string{"/1", "/2", "/3"} {
+		q := newRequest("")
+		q.Target, q.Exclusive = path, true
+		res, err := p.Do(t.Context(), q)
+		require.NoError(t, err)
+		require.Equal(t, path, string(res.Body))
+	}
+	// A connection that carried another request is not taken either.
+	_, err := p.Do(t.Context(), newRequest(""))
+	require.NoError(t, err)
+	q := newRequest("")
+	q.Target, q.Exclusive = "/4", true
+	res, err := p.Do(t.Context(), q)
+	require.NoError(t, err)
+	require.Equal(t, "/4", string(res.Body))
+}
--- a/internal/control/server/open_test.go
+++ b/internal/control/server/open_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"gentianpond/internal/control/replicator"
 	"gentianpond/internal/control/subscriber"
@@ -282,6 +283,43 @@
 	holds(func(s subscriber.RoutingState) bool { return len(s.Servers) == 0 })
 }
 
+// TestFirstWatch guards against a former leader, such as a process that was paused for
+// some seconds, that gives its old state to an entry host that has just started: a
+// backend server that has left since would be in use again.
+func TestFirstWatch(t *testing.T) {
+	g := newOpenGroup(t)
+	var all []*Server
+	for _, a := range g.seeds {
+		all = append(all, g.start(a, true))
+	}
+	g.publish(all[0], 1, "one")
+	leader := g.waitForLeader(all)
+	client, closer, err := subscriber.Connect()(leader)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, closer.Close()) }()
+	watch := func(version uint64) *messenger.WatchReply {
+		reply, err := client.Watch(t.Context(), &messenger.WatchRequest{Host: "entry", Incarnation: 1, Version: version, Wait: durationpb.New(time.Millisecond)})
+		require.NoError(t, err)
+		return reply
+	}
+	reply := watch(0)
+	require.True(t, reply.GetGranted())
+	require.EqualValues(t, 1, reply.GetVersion())
+	for _, n := range g.running {
+		if n.server.settings.Inner != leader {
+			n.cancel()
+		}
+	}
+	for a, n := range g.running {
+		if a != leader {
+			require.NoError(t, <-n.done)
+			delete(g.running, a)
+		}
+	}
+	// The host still considers itself the leader for an election timeout.
+	require.False(t, watch(0).GetGranted(), "a host without a majority gave its state to a new entry host")
+}
+
 // register retries until the registration is acknowledged.
 func (g *openGroup) register(s *Server, server registrar.Server) {
 	require.Eventually(g.t, func() bool {
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -83,8 +83,10 @@
 }
 
 // answerWatches replies to the held requests that have news or have waited long
-// enough. They need no read confirmation: what they get is committed, and an entry
-// host that follows a former leader learns of a newer one within an election timeout.
+// enough. Entry hosts that have a state need no read confirmation: they ignore an older
+// one, and learn of a newer leader within an election timeout. One that has just
+// started would use an older state of a former leader, with backend servers that have
+// left.
 func (l *loop) answerWatches(now time.Duration) {
 	if len(l.heldWatches) == 0 || now < l.nextWatchCheck {
 		return
@@ -98,6 +100,8 @@
 			kept = append(kept, w)
 		case w.request.GetSeek() || !leads:
 			w.done(&messenger.WatchReply{Granted: leads, Leader: leader, Control: memberAddresses(l.status)}, nil)
+		case (l.hasNews(w.request) || now >= w.holdUntil) && w.request.GetVersion() == 0 && w.request.GetRegistry() == 0:
+			l.answerConfirmed(w)
 		case l.hasNews(w.request) || now >= w.holdUntil:
 			w.done(l.watchReply(now, w.request), nil)
 		default:
@@ -108,6 +112,17 @@
 	l.heldWatches = kept
 }
 
+// answerConfirmed replies to a held request once this host is known to lead still.
+func (l *loop) answerConfirmed(w heldWatch) {
+	l.confirmLeadership(func(confirmed bool) {
+		if !confirmed {
+			w.done(&messenger.WatchReply{Leader: l.leaderAddress()}, nil)
+			return
+		}
+		w.done(l.watchReply(l.now(), w.request), nil)
+	})
+}
+
 // hasNews reports whether the routing document or the registry is newer than what the
 // entry host has.
 func (l *loop) hasNews(r *messenger.WatchRequest) bool {
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -28,6 +28,10 @@
 	// answerMemoryDivisor is the reciprocal of the share of the host's memory that the
 	// answers of backend servers may hold at a time.
 	answerMemoryDivisor = 4
+	// maxServerWait is how long a host that has a routing table waits for servers of all
+	// its routes before it reports itself ready without them. Servers check in more
+	// often.
+	maxServerWait = 3 * time.Second
 	// balancerGraceShare is the share of the grace period during which a stopping
 	// host still accepts connections: the load balancer checks once a second and
 	// needs two failed checks to take the host out of service.
@@ -81,6 +85,10 @@
 	readinessListener net.Listener
 	// draining is set by Drain.
 	draining atomic.Bool
+	// tableReceivedAt is when the first routing table arrived, nil before. canServe is
+	// set once the host could serve it.
+	tableReceivedAt atomic.Pointer[time.Time]
+	canServe        atomic.Bool
 	// drained is closed when Drain returns.
 	drained chan struct{}
 	// runContext is the context of the watcher's run, which is passed to the relayer
@@ -130,10 +138,25 @@
 	return f, nil
 }
 
-// Ready reports whether the host accepts clients' requests: it has a routing table
-// and is not draining. A host that has lost contact with control stays ready and
-// uses the last state that it received.
-func (f *Forwarder) Ready() bool { return !f.draining.Load() && f.relayer.Table() != nil }
+// Ready reports whether the host accepts clients' requests: it is not draining, and
+// since its start it has known servers for all routes, or waited for them for
+// maxServerWait. A host that has lost contact with control stays ready and uses the
+// last state that it received.
+func (f *Forwarder) Ready() bool {
+	if f.draining.Load() {
+		return false
+	}
+	if f.canServe.Load() {
+		return true
+	}
+	received := f.tableReceivedAt.Load()
+	if received == nil || !f.relayer.CanServe() && time.Since(*received) < maxServerWait {
+		return false
+	}
+	f.canServe.Store(true)
+	f.log.Info("ready", "waited", time.Since(*received))
+	return true
+}
 
 // AddTo adds the parts of the host to a run group.
 func (f *Forwarder) AddTo(group *runner.Group) {
@@ -179,6 +202,8 @@
 			f.log.Error("routing document cannot be used", "version", w.Version, "err", err)
 		} else {
 			f.table = table
+			now := time.Now()
+			f.tableReceivedAt.CompareAndSwap(nil, &now)
 			f.log.Info("routing table in force", "version", w.Version, "routes", len(table.Routes()))
 		}
 	}
--- a/internal/host/forwarder/forwarder_test.go
+++ b/internal/host/forwarder/forwarder_test.go
@@ -13,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
+	"gentianpond/internal/control/subscriber"
+	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/settings/loader"
@@ -73,3 +75,35 @@
 	require.Equal(t, "whole", <-answer)
 	require.NoError(t, <-done)
 }
+
+// TestReady guards against a host that is given clients' requests although it knows no
+// backend server yet, and against one that stays out of service because a service has
+// none.
+func TestReady(t *testing.T) {
+	table, err := router.New(1, []router.Route{{
+		Name: "r", Host: "h", Prefix: "/", Timeout: time.Second, Objective: time.Second, MaxAttempts: 1, Shards: []string{"a", "b", "c"}, TopK: 1, MinCoverage: 0.6,
+	}}, []router.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}}, router.Limits{})
+	require.NoError(t, err)
+	f, stop := startTestForwarder(t, func(f *Forwarder) {
+		f.adapter.DecodeDocument = func([]byte) (*router.Table, error) { return table, nil }
+	})
+	defer func() { require.NoError(t, stop()) }()
+	require.Eventually(t, func() bool { return f.runContext.Load() != nil }, time.Second, time.Millisecond)
+	require.False(t, f.Ready(), "without a routing table")
+	state := subscriber.RoutingState{Version: 1}
+	for i, service := range []string{"a", "b"} {
+		f.applyUpdate(state)
+		require.False(t, f.Ready(), "with servers for %d of 3 shards, 2 are needed", i)
+		state.Servers = append(state.Servers, registrar.Server{Name: service, Service: service, Address: freeAddress(t)})
+	}
+	f.applyUpdate(state)
+	require.True(t, f.Ready())
+	f.applyUpdate(subscriber.RoutingState{Version: 1})
+	require.True(t, f.Ready(), "servers that are lost later do not take the host out of service")
+
+	f.canServe.Store(false)
+	require.False(t, f.Ready())
+	before := time.Now().Add(-maxServerWait)
+	f.tableReceivedAt.Store(&before)
+	require.True(t, f.Ready(), "a service without servers does not take the host out of service for good")
+}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -159,6 +159,7 @@
 		relayer: r,
 		request: &connector.Request{
 			Method: request.Method, Target: request.Target, Host: request.HostHeader, Header: request.Header, Body: request.Body,
+			Exclusive: request.ID == "",
 			Allowance: connector.NewAllowance(cmp.Or(r.config.AnswerBytes, defaultAnswerBytes), r.memory),
 		},
 		id:       request.ID,
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -190,6 +190,10 @@
 // Table returns the current routing table, or nil if there is none yet.
 func (r *Relayer) Table() *router.Table { return r.routing.Load().table }
 
+// CanServe reports whether every route of the current table has servers for enough of
+// its shards.
+func (r *Relayer) CanServe() bool { return r.routing.Load().canServe() }
+
 // Update installs a routing table, the servers of the registry and the number of
 // hosts, which is 0 while it is unknown.
 func (r *Relayer) Update(ctx context.Context, table *router.Table, registry []registrar.Server, hostCount int) {
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -77,6 +77,31 @@
 	return true
 }
 
+// canServe reports whether every route has servers for enough of its shards.
+func (state *routingState) canServe() bool {
+	if state.table == nil {
+		return false
+	}
+	for _, route := range state.table.Routes() {
+		if state.servedShards(&route) < route.MinParts() {
+			return false
+		}
+	}
+	return true
+}
+
+// servedShards returns the number of the route's shards, or of the services that it is
+// split among, for which a server is known. A route to a single service has one.
+func (state *routingState) servedShards(route *router.Route) int {
+	n := 0
+	for _, name := range route.Services() {
+		if s := state.services[name]; len(s.ready)+len(s.silent) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // addServer adds a server of the registry to the routing state next, which replaces
 // old, and updates the selector. It keeps the connections of a server whose
 // incarnation and address are unchanged. The caller holds the lock.
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -84,6 +84,19 @@
 	return max(1, int(math.Ceil(r.MinCoverage*float64(len(r.Shards))-1e-9)))
 }
 
+// Services returns the names of the shards, or of the services that the route is split
+// among.
+func (r *Route) Services() []string {
+	if r.Fanout() {
+		return r.Shards
+	}
+	names := make([]string, len(r.Targets))
+	for i, t := range r.Targets {
+		names[i] = t.Service
+	}
+	return names
+}
+
 // Service is a group of backend servers in the routing document.
 type Service struct {
 	Name string
