Keep the connection to the preferred server of each service open for longer

Change: where a host may have one connection to a server, the one to the server of each service that was used last is kept for 10 s, others for 2 s as before.

TestPreferredConnection replays such a host.

--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -27,6 +27,8 @@
 	limits *limitedReader
 	// used is true once a request has been sent.
 	used bool
+	// idleSince is when the connection was opened or returned after a response.
+	idleSince time.Time
 	// expiresAt is when the connection, if idle, is no longer used.
 	expiresAt time.Time
 }
@@ -34,8 +36,8 @@
 // newConn returns the connection over raw. It expires after defaultIdleTimeout; each
 // response sets a new time.
 func newConn(raw net.Conn) *conn {
-	limits := &limitedReader{raw: raw}
-	return &conn{raw: raw, limits: limits, reader: bufio.NewReaderSize(limits, readBufferBytes), expiresAt: time.Now().Add(defaultIdleTimeout)}
+	limits, now := &limitedReader{raw: raw}, time.Now()
+	return &conn{raw: raw, limits: limits, reader: bufio.NewReaderSize(limits, readBufferBytes), idleSince: now, expiresAt: now.Add(defaultIdleTimeout)}
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -111,6 +111,8 @@
 	openConns int
 	// idleConns are ordered by last use, the latest last.
 	idleConns []*conn
+	// lastUsed is when a connection was last returned after a response.
+	lastUsed time.Time
 	// waiters are the requests that wait for a connection, in order of arrival.
 	// Each is sent a connection, or nil when it may try to open one.
 	waiters []chan *conn
@@ -199,6 +201,25 @@
 	p.closeIdle(func(c *conn) bool { return now.After(c.expiresAt) })
 }
 
+// CloseUnused closes the idle connections that were last used before a time.
+func (p *Pool) CloseUnused(before time.Time) {
+	p.closeIdle(func(c *conn) bool { return c.idleSince.Before(before) })
+}
+
+// LastUsed returns when a connection was last used, the zero time before the first use.
+func (p *Pool) LastUsed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastUsed
+}
+
+// Limit returns the maximum number of connections.
+func (p *Pool) Limit() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connLimit
+}
+
 // CloseIdle closes all idle connections.
 func (p *Pool) CloseIdle() {
 	p.closeIdle(func(*conn) bool { return true })
@@ -258,10 +279,12 @@
 		p.discard(c)
 		return response, nil
 	}
+	now := time.Now()
 	p.mu.Lock()
 	idleTimeout := p.idleTimeout
+	p.lastUsed = now
 	p.mu.Unlock()
-	c.expiresAt = time.Now().Add(min(idleTimeoutFrom(response.Header), idleTimeout))
+	c.idleSince, c.expiresAt = now, now.Add(min(idleTimeoutFrom(response.Header), idleTimeout))
 	p.release(c, false)
 	return response, nil
 }
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -229,7 +229,8 @@
 	return context.Background()
 }
 
-// Run closes idle connections that have expired until ctx ends.
+// Run closes idle connections that have expired or are not worth keeping until ctx
+// ends.
 func (r *Relayer) Run(ctx context.Context) error {
 	ticker := time.NewTicker(idleSweepInterval)
 	defer ticker.Stop()
@@ -238,9 +239,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
-			for _, s := range r.routing.Load().servers {
-				s.pool.CloseExpired(now)
-			}
+			r.routing.Load().closeIdle(now)
 		}
 	}
 }
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -476,6 +476,43 @@
 	})
 }
 
+// TestPreferredConnection replays the load of one of many hosts: less than one request a
+// second, over one connection to a server. It guards against opening a connection for
+// each of them, and against keeping one to every server, which leaves no room on the
+// servers after a power loss of all hosts.
+func TestPreferredConnection(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Safe)}, map[string][]string{"s": {"a", "b", "c"}})
+	r := env.relayer
+	var servers []registrar.Server
+	for _, b := range env.servers {
+		servers = append(servers, b.server)
+	}
+	r.Update(t.Context(), r.Table(), servers, 1000)
+	state := r.routing.Load()
+	for _, s := range state.servers {
+		require.Equal(t, 1, s.pool.Limit())
+		require.NoError(t, s.pool.Connect(t.Context()))
+	}
+	require.Equal(t, Served, env.get(t, "/x").Reason)
+	idle := func() (names []string) {
+		for name, s := range state.servers {
+			if s.pool.HasIdle() {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	now := time.Now()
+	preferred := state.lastUsed(state.services["s"].ready)
+	require.NotNil(t, preferred)
+	state.closeIdle(now.Add(otherIdleTime / 2))
+	require.Len(t, idle(), 3)
+	state.closeIdle(now.Add(otherIdleTime + time.Second))
+	require.Equal(t, []string{preferred.Name}, idle())
+	state.closeIdle(now.Add(preferredIdleTime + time.Second))
+	require.Empty(t, idle())
+}
+
 // BenchmarkFanout measures the processor time of a fan-out over 36 shards, the width on
 // which small hosts spend most of their processor time.
 func BenchmarkFanout(b *testing.B) {
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -163,24 +163,58 @@
 // slots are free, and is better sent to another replica.
 func maxConcurrent(s registrar.Server, limit int) int { return max(1, min(s.Slots, limit)) }
 
-// soleConnectionIdleTime is how long an idle connection is kept where this host may
-// have only one to the server. A host sends one or two requests a second to the server
-// that it prefers, so that connection stays open.
-const soleConnectionIdleTime = 2 * time.Second
+// How long idle connections are kept where this host may have only one to a server.
+const (
+	// preferredIdleTime is for the server of each service that was used last. In a fleet
+	// of hundreds of hosts each gets less than one request a second, and opening a
+	// connection takes a tenth of a short latency objective.
+	preferredIdleTime = 10 * time.Second
+	// otherIdleTime is for the other servers of the service.
+	otherIdleTime = 2 * time.Second
+)
 
 // maxIdleTime returns how long an idle connection is kept at most where this host may
-// have limit connections to the server; 0 means the default of the pool.
-//
-// The short time where only one is allowed is for a power loss of all hosts at once,
-// in a fleet with about as many hosts as a server accepts connections. The server does
-// not notice that its connections are dead and refuses new ones until it has dropped
-// the old ones: 17,000 connections were refused in the 8 s after one such loss. Closing
-// rarely used connections early leaves room for the new ones.
+// have limit connections to the server; 0 means the default of the pool. Where only
+// one is allowed, closeIdle closes most of them earlier.
 func maxIdleTime(limit int) time.Duration {
 	if limit > 1 {
 		return 0
 	}
-	return soleConnectionIdleTime
+	return preferredIdleTime
+}
+
+// closeIdle closes the idle connections that have expired. In a fleet with about as many
+// hosts as a server accepts connections it keeps a rarely used connection only to one
+// server of each service. After a power loss of all hosts, servers refuse new
+// connections until they notice that the old ones are dead; the rest of their limit is
+// room for the new ones.
+func (state *routingState) closeIdle(now time.Time) {
+	for _, service := range state.services {
+		preferred := state.lastUsed(service.ready)
+		for _, name := range service.ready {
+			s := state.servers[name]
+			if s != preferred && s.pool.Limit() == 1 {
+				s.pool.CloseUnused(now.Add(-otherIdleTime))
+			}
+		}
+	}
+	for _, s := range state.servers {
+		s.pool.CloseExpired(now)
+	}
+}
+
+// lastUsed returns the server to which a request was sent last, or nil if there was no
+// request to any of them.
+func (state *routingState) lastUsed(names []string) *server {
+	var last *server
+	var at time.Time
+	for _, name := range names {
+		s := state.servers[name]
+		if used := s.pool.LastUsed(); used.After(at) {
+			last, at = s, used
+		}
+	}
+	return last
 }
 
 // connectionLimit returns this host's share of the connections that each server of a
