Leave congested shards out by systematic sampling, do not count servers that are down as free

The throttle of a service stayed open because servers that are down had reported no load and counted as free (TestLostReplicas fails without the change). Besides, each shard was left out by a decision of its own, so that searches lacked too many shards by chance.

--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/gatherer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/caller"
@@ -240,24 +241,23 @@
 	}
 }
 
-// admit decides at random, by the throttle of each service, which shards are excluded
-// as congested, and reports whether enough shards remain for an answer. Otherwise the
-// request is refused before it uses capacity of the other shards.
+// admit decides by the throttle of each service which shards are left out as congested,
+// and reports whether the request is sent at all. If not, it is refused before it uses
+// capacity of the other shards.
 func (q *query) admit() bool {
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	left := len(q.shards)
+	shares := make([]float64, len(q.shards))
 	for i := range q.shards {
-		s := &q.shards[i]
-		share := r.throttle(s.service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
-		if share < 1 && r.rand.Float64() >= share {
-			s.noMoreSends = true
-			q.congestedShards++
-			left--
-		}
+		shares[i] = r.throttle(q.shards[i].service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
+	}
+	excluded, ok := admitter.Select(shares, q.plan.Shards-q.plan.MinParts, r.rand.Float64(), r.rand.Float64())
+	for _, i := range excluded {
+		q.shards[i].noMoreSends = true
 	}
-	return left >= q.plan.MinParts
+	q.congestedShards = len(excluded)
+	return ok
 }
 
 // openShards returns the number of shards from which a part may still come.
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -476,6 +476,24 @@
 	})
 }
 
+// TestLostReplicas replays the load of a shard that has lost two of three replicas. It
+// guards against a throttle that stays open because servers that are down report no load
+// and so seem to be free.
+func TestLostReplicas(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Safe)}, map[string][]string{"s": {"a", "b", "c"}})
+	state := env.relayer.routing.Load()
+	now := time.Now()
+	a, b, c := state.servers["a"], state.servers["b"], state.servers["c"]
+	require.False(t, state.othersCongested(now, a), "nothing is known of the others")
+	b.down.Store(true)
+	require.False(t, state.othersCongested(now, a), "one other can be reached")
+	c.down.Store(true)
+	require.True(t, state.othersCongested(now, a))
+	c.down.Store(false)
+	c.load.Store(&reportedLoad{Load: Load{Known: true, Running: 4, Waiting: 4, Slots: 4}, receivedAt: now})
+	require.True(t, state.othersCongested(now, a), "the other one is congested")
+}
+
 // TestPreferredConnection replays the load of one of many hosts: less than one request a
 // second, over one connection to a server. It guards against opening a connection for
 // each of them, and against keeping one to every server, which leaves no room on the
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -60,13 +60,13 @@
 // server several times a second.
 const maxLoadAge = time.Second
 
-// othersCongested reports whether all other ready servers of a service had at least as
-// many requests waiting as slots when they last reported their load. As long as one
-// had not, requests are better sent there than refused.
+// othersCongested reports whether all other ready servers of a service that can be
+// reached had at least as many requests waiting as slots when they last reported their
+// load. As long as one had not, requests are better sent there than refused.
 func (state *routingState) othersCongested(now time.Time, except *server) bool {
 	for _, name := range state.services[except.Service].ready {
 		s := state.servers[name]
-		if s == except || s.misdirected.Load() {
+		if s == except || s.misdirected.Load() || s.down.Load() {
 			continue
 		}
 		l := s.load.Load()
