--- a/internal/host/forwarder/clientconn_test.go
+++ b/internal/host/forwarder/clientconn_test.go
@@ -90,6 +90,7 @@
 	if err != nil {
 		return "", err
 	}
+	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
 	return string(body), err
 }
@@ -166,6 +167,7 @@
 		require.NoError(t, err)
 		require.Equal(t, http.StatusRequestTimeout, res.StatusCode)
 		require.True(t, res.Close)
+		require.NoError(t, res.Body.Close())
 		require.Less(t, time.Since(start), headerTimeout/2)
 		_, err = r.ReadByte()
 		require.ErrorIs(t, err, io.EOF)
