--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/backend/connector"
-	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/gatherer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/caller"
@@ -248,16 +247,17 @@
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	shares := make([]float64, len(q.shards))
+	left := len(q.shards)
 	for i := range q.shards {
-		shares[i] = r.throttle(q.shards[i].service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
-	}
-	excluded, ok := admitter.Select(shares, q.plan.Shards-q.plan.MinParts, r.rand.Float64(), r.rand.Float64())
-	for _, i := range excluded {
-		q.shards[i].noMoreSends = true
+		s := &q.shards[i]
+		share := r.throttle(s.service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
+		if share < 1 && r.rand.Float64() >= share {
+			s.noMoreSends = true
+			q.congestedShards++
+			left--
+		}
 	}
-	q.congestedShards = len(excluded)
-	return ok
+	return left >= q.plan.MinParts
 }
 
 // openShards returns the number of shards from which a part may still come.
