--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -21,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/route/router"
 )
@@ -476,6 +477,41 @@
 	})
 }
 
+// endlessHandler sends a signed answer of unknown length until the connection is closed.
+func endlessHandler(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Stamp", "endless")
+	block := make([]byte, 64<<10)
+	for {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
+// TestEndlessAnswer guards against a server that sends bytes without end: its request
+// would take the host's memory and end with its time limit, and the server would get
+// further requests.
+func TestEndlessAnswer(t *testing.T) {
+	env := newTestEnv(t, []router.Route{fanoutRoute(1)}, shardServers(2))
+	r := env.relayer
+	scope := tally.NewTestScope("", nil)
+	r.config.Scope, r.config.AnswerBytes = scope, 1<<20
+	r.memory = connector.NewAllowance(8<<20, nil)
+	env.servers["s1-a"].setHandler(endlessHandler)
+	for range 30 {
+		start := time.Now()
+		a := env.get(t, "/x")
+		require.Equal(t, Served, a.Reason)
+		require.Zero(t, a.MissingParts)
+		require.NotContains(t, a.Stamps, "endless")
+		require.Less(t, time.Since(start), 400*time.Millisecond)
+		a.Release()
+	}
+	require.Positive(t, scope.Snapshot().Counters()["answers_too_large+"].Value())
+	require.Less(t, env.servers["s1-a"].requests.Load(), int64(15), "the server is chosen as often as the other one")
+	require.Eventually(t, func() bool { return r.memory.Used() == 0 }, time.Second, time.Millisecond)
+}
+
 // TestLostReplicas replays the load of a shard that has lost two of three replicas. It
 // guards against a throttle that stays open because servers that are down report no load
 // and so seem to be free.
@@ -511,7 +547,6 @@
 		require.Equal(t, 1, s.pool.Limit())
 		require.NoError(t, s.pool.Connect(t.Context()))
 	}
-	require.Equal(t, Served, env.get(t, "/x").Reason)
 	idle := func() (names []string) {
 		for name, s := range state.servers {
 			if s.pool.HasIdle() {
@@ -520,6 +555,9 @@
 		}
 		return names
 	}
+	state.closeIdle(time.Now().Add(preferredIdleTime))
+	require.Len(t, idle(), 3, "connections for the first request")
+	require.Equal(t, Served, env.get(t, "/x").Reason)
 	now := time.Now()
 	preferred := state.lastUsed(state.services["s"].ready)
 	require.NotNil(t, preferred)
