--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -555,6 +555,8 @@
 		}
 		return names
 	}
+	// The relayer itself connects in the background to servers of its zone.
+	require.Eventually(t, func() bool { return len(idle()) == 3 }, time.Second, time.Millisecond)
 	state.closeIdle(time.Now().Add(preferredIdleTime))
 	require.Len(t, idle(), 3, "connections for the first request")
 	require.Equal(t, Served, env.get(t, "/x").Reason)
