--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -185,9 +185,9 @@
 
 // closeIdle closes the idle connections that have expired. In a fleet with about as many
 // hosts as a server accepts connections it keeps a rarely used connection only to one
-// server of each service; those that were opened for the first request wait for it. After a power loss of all hosts, servers refuse new
-// connections until they notice that the old ones are dead; the rest of their limit is
-// room for the new ones.
+// server of each service; those that were opened for the first request wait for it.
+// After a power loss of all hosts, servers refuse new connections until they notice that
+// the old ones are dead; the rest of their limit is room for the new ones.
 func (state *routingState) closeIdle(now time.Time) {
 	for _, service := range state.services {
 		preferred := state.lastUsed(service.ready)
