Log and count the rate limits that backend servers name

Hosts neither read the limit that a backend server names nor logged it, so logs could not tell whether hosts ignore it, apply it each on its own, or exceed it with extra sends. The limit is decoded with the answer's other metadata and each change is logged with the request that showed it. No decision uses it yet.

--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -101,6 +101,9 @@
 		res.server.load.Store(&reportedLoad{Load: l, receivedAt: now})
 		r.selector.LoadReported(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
 	}
+	if res.err == nil {
+		r.noteLimit(res)
+	}
 	if signal, ok := q.loadSignal(now, res); ok {
 		congested := signal.Congested() && q.routing.othersCongested(now, res.server)
 		r.throttle(res.server.Service).Observe(now, now.Add(-res.latency), congested)
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -88,6 +88,17 @@
 	Misdirected bool
 	// Load is the load that the server reported, if any.
 	Load Load
+	// Limit is the rate limit that the server named, if any.
+	Limit NamedLimit
+}
+
+// NamedLimit is the rate limit that a server named in an answer.
+type NamedLimit struct {
+	// Named is true if the answer has a limit, even one that cannot be read.
+	Named bool
+	// Rate is the number of requests a second that the server takes from all hosts
+	// together. It is 0 if no limit was named or it cannot be read.
+	Rate float64
 }
 
 // Load is the load of a server when it answered: its running and waiting requests
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -48,6 +48,9 @@
 	down atomic.Bool
 	// load is the latest load that the server reported.
 	load atomic.Pointer[reportedLoad]
+	// limit is the rate limit that the server named last, 0 if its last answer named
+	// none. The lock of the relayer guards it.
+	limit float64
 }
 
 // reportedLoad is a load with the time at which this host received it.
