Divide the rate limits that backend servers name among the entry hosts

What callers saw: nothing yet.

Cause: no code used the limit. It is a bound on the sum of all hosts' sends, and the system divided only extra sends and connections.

Change: each host takes its sends from a share of the limit that follows from its rank and the number of hosts, so that the sum holds while hosts cannot talk. Hosts report limits with their watch requests and learn of others' with the replies. A request for which too few shards have room, or any server, is refused before anything is sent.

--- a/cmd/gentianpond/status.go
+++ b/cmd/gentianpond/status.go
@@ -10,7 +10,8 @@
 )
 
 const helpStatus = `Print the status of each control host: leader, term, voters, entry hosts with
-the revision in force on each, and repairs in progress.
+the revision in force on each, rate limits that backend servers name, and repairs in
+progress.
 
 Use GET /v1/status on an entry host to list backend servers and snapshots.`
 
@@ -55,6 +56,9 @@
 		fmt.Printf("  entry host %s zone %s revision %d adopted %d released %d silent %s\n", e.GetMember().GetName(),
 			e.GetMember().GetZone(), e.GetRevision(), e.GetAdopted(), e.GetReleased(), e.GetSilent().AsDuration())
 	}
+	for _, m := range r.GetLimits() {
+		fmt.Printf("  rate limit %s: %g requests a second for all entry hosts, named %s ago\n", m.GetServer(), m.GetRate(), m.GetAge().AsDuration())
+	}
 	for _, text := range r.GetRepairs() {
 		fmt.Println("  repair:", text)
 	}
--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -104,6 +104,8 @@
 	markingSilent bool
 	// watchingHosts counts the entry hosts that send watch requests to this leader.
 	watchingHosts *watchTracker
+	// limits holds the rate limits that entry hosts reported to this leader.
+	limits *limitTracker
 	// heldWatches are the watch requests without a reply yet, the oldest first.
 	heldWatches []heldWatch
 	// nextWatchCheck is when the held watch requests are checked next.
@@ -148,6 +150,7 @@
 
 		checkIns:      newCheckInTracker(0),
 		watchingHosts: newWatchTracker(0),
+		limits:        newLimitTracker(),
 		hellos:        hellos{},
 		lastSnapshot:  snapshotProgress{index: snapshot.Index, snapshotBytes: len(snapshot.Data)},
 	}
@@ -486,6 +489,7 @@
 		l.entryHosts = newEntryTracker(l.now())
 		l.checkIns = newCheckInTracker(l.now())
 		l.watchingHosts = newWatchTracker(l.now())
+		l.limits = newLimitTracker()
 		l.repairReason = ""
 	}
 	l.logRoleChange(last, s)
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -279,6 +279,11 @@
 		}
 		reply.Entries = append(reply.Entries, e)
 	}
+	for _, m := range l.limits.changesSince(l.now(), l.keeper.Registry(), 0) {
+		if m.GetRate() > 0 {
+			reply.Limits = append(reply.Limits, m)
+		}
+	}
 	if l.repairReason != "" {
 		reply.Repairs = []string{l.repairReason}
 	}
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gentianpond/internal/protocol/messenger"
 )
 
@@ -62,6 +64,19 @@
 	return uint32(len(t.lastWatch))
 }
 
+// rankOf returns the place of an entry host among those that watch. The hosts are
+// ordered by a hash of their names, so that neighbors are in different zones.
+func (t *watchTracker) rankOf(host string) uint32 {
+	own := xxhash.Sum64String(host)
+	rank := uint32(0)
+	for name := range t.lastWatch {
+		if h := xxhash.Sum64String(name); h < own || h == own && name < host {
+			rank++
+		}
+	}
+	return rank
+}
+
 // handleWatch holds a request until there is news for it. A request that seeks the
 // leader is held until there is one.
 func (l *loop) handleWatch(r *messenger.WatchRequest, done func(*messenger.WatchReply, error)) {
@@ -69,6 +84,7 @@
 	leads, leader := l.isLeader(), l.leaderAddress()
 	if leads {
 		l.watchingHosts.recordWatch(now, r.GetHost())
+		l.recordLimits(now, r)
 	}
 	if leads && r.GetSeek() {
 		done(&messenger.WatchReply{Granted: true, Control: memberAddresses(l.status)}, nil)
@@ -141,6 +157,11 @@
 		Hosts:    l.watchingHosts.countHosts(now),
 		Control:  memberAddresses(l.status),
 	}
+	if reply.Hosts > 0 {
+		reply.Rank = l.watchingHosts.rankOf(r.GetHost())
+	}
+	reply.Limits = l.limits.lastChange
+	reply.Changed = l.limits.changesSince(now, l.keeper.Registry(), r.GetLimits())
 	if r.GetVersion() < version {
 		reply.Packed = packed
 	}
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -16,6 +16,7 @@
 
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/value/packer"
 )
 
@@ -69,6 +70,8 @@
 	Servers []registrar.Server
 	// EntryHosts is the number of entry hosts, 0 while it is unknown.
 	EntryHosts int
+	// HostRank is the place of this host among them, from 0 to EntryHosts-1.
+	HostRank int
 	// LastReply is the time of the leader's last reply.
 	LastReply time.Time
 
@@ -87,12 +90,24 @@
 	Seeds []netip.AddrPort
 	// OnChange is called after each change except of LastReply, one call at a time.
 	OnChange func(RoutingState)
+	// Limits exchanges rate limits with the other entry hosts. It may be nil.
+	Limits LimitExchange
 	// Connect defaults to gRPC without extra options.
 	Connect Connector
 	// Log is required.
 	Log *log.Logger
 }
 
+// LimitExchange holds the rate limits of backend servers that this host knows.
+type LimitExchange interface {
+	// UnreportedLimits returns those that the control hosts have to be told.
+	UnreportedLimits() []pacer.Observation
+	// LearnLimits records those that other hosts observed.
+	LearnLimits(list []pacer.Observation)
+	// ForgetSharedLimits makes UnreportedLimits return all of them again.
+	ForgetSharedLimits()
+}
+
 // Watcher keeps an entry host's routing document and registry up to date without a
 // lease: a host without contact to the leader continues with its last state. Use
 // NewWatcher.
@@ -102,6 +117,9 @@
 	state atomic.Pointer[RoutingState]
 	// leader is the connection to the leader, zero while none is known.
 	leader controlConn
+	// limits is the number of the newest change of a rate limit that the leader sent.
+	// Only Run uses it.
+	limits uint64
 
 	// mu protects seeds and controlHosts.
 	mu sync.Mutex
@@ -161,7 +179,9 @@
 // the leader if the request fails or the host no longer leads.
 func (w *Watcher) watchLeader(ctx context.Context, hold, timeout time.Duration) {
 	s := w.State()
-	reply, err := callWatch(ctx, w.leader.client, w.newWatchRequest(s.Version, s.registryIndex, hold), timeout)
+	request := w.newWatchRequest(s.Version, s.registryIndex, hold)
+	w.addLimits(request)
+	reply, err := callWatch(ctx, w.leader.client, request, timeout)
 	if err == nil && reply.GetGranted() {
 		w.applyWatchReply(reply, time.Now())
 		return
@@ -233,6 +253,7 @@
 		case answer := <-answers:
 			if answer.reply.GetGranted() {
 				w.leader = answer.conn
+				w.resetLimits()
 				w.config.Log.Info("found the control leader", "table", answer.reply.GetVersion(), "registry", answer.reply.GetRegistry())
 				return true
 			}
@@ -310,16 +331,18 @@
 		next.registryIndex = reply.GetRegistry()
 		changed = true
 	}
-	if hosts := int(reply.GetHosts()); hosts > 0 && hosts != old.EntryHosts {
-		next.EntryHosts = hosts
+	hosts, rank := int(reply.GetHosts()), int(reply.GetRank())
+	if hosts > 0 && (hosts != old.EntryHosts || rank != old.HostRank) {
+		next.EntryHosts, next.HostRank = hosts, rank
 		changed = true
-		w.config.Log.Info("number of entry hosts changed", "hosts", hosts, "before", old.EntryHosts)
+		w.config.Log.Info("number of entry hosts changed", "hosts", hosts, "before", old.EntryHosts, "rank", rank)
 	}
 	w.setControlHosts(reply.GetControl())
 	w.state.Store(&next)
 	if changed {
 		w.config.OnChange(next)
 	}
+	w.learnLimits(reply, now)
 }
 
 // mergeRegistrations returns the servers after the changes of a reply, sorted by
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 
 	"gentianpond/internal/control/subscriber"
 	"gentianpond/internal/host/runner"
+	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/route/relayer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/settings/loader"
@@ -124,7 +125,8 @@
 		Scope:       scope.SubScope("relay"),
 	})
 	f.watcher = subscriber.NewWatcher(subscriber.WatcherConfig{
-		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Log: logger,
+		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Limits: f.relayer,
+		Log: logger,
 	})
 	f.clientServer = &http.Server{
 		Handler:           f.limitBody(a.NewEntryHandler(transitRelayer{f})),
@@ -191,7 +193,7 @@
 }
 
 // applyUpdate decodes the routing document if its version is new, and passes the
-// routing table, the registry of backend servers and the number of entry hosts to the
+// routing table, the registry of backend servers and the place of this host among the entry hosts to the
 // relayer. The watcher makes one call at a time.
 func (f *Forwarder) applyUpdate(w subscriber.RoutingState) {
 	if w.Version > 0 && (f.table == nil || f.table.Version != w.Version) {
@@ -207,7 +209,8 @@
 			f.log.Info("routing table in force", "version", w.Version, "routes", len(table.Routes()))
 		}
 	}
-	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers, w.EntryHosts)
+	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers,
+		pacer.Position{Rank: w.HostRank, Count: w.EntryHosts})
 }
 
 // clientTimeouts returns the limits of the routing table in force for the headers of a
--- /dev/null
+++ b/internal/route/relayer/admit.go
@@ -0,0 +1,125 @@
+package relayer
+
+import (
+	"slices"
+	"time"
+)
+
+// shardRoom tells whether a shard can get a request.
+type shardRoom uint8
+
+const (
+	// noServer means that no server of the shard can be reached.
+	noServer shardRoom = iota
+	// noRoom means that all servers that can be reached name a rate limit, and this host
+	// has no room within it.
+	noRoom
+	// room means that at least one server can take the request.
+	room
+)
+
+// admit decides which shards get the request and chooses their servers, one for each
+// shard, nil for a shard that is left out. If too few shards can get it, the request is
+// refused before it uses capacity of the others.
+func (q *query) admit() (targets []*server, refusal Answer) {
+	r, now := q.relayer, time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sent := len(q.shards)
+	open := 0
+	var limited []string
+	for i := range q.shards {
+		s := &q.shards[i]
+		share := r.throttle(s.service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
+		if share < 1 && r.rand.Float64() >= share {
+			s.noMoreSends = true
+			q.congestedShards++
+			sent--
+			continue
+		}
+		switch r.roomOf(now, q.routing, s.service) {
+		case room:
+			open++
+		case noRoom:
+			s.noMoreSends = true
+			limited = append(limited, s.service)
+		case noServer:
+			s.noMoreSends = true
+		}
+	}
+	q.limitedShards = len(limited)
+	missing := q.plan.MinParts - open
+	switch {
+	case sent < q.plan.MinParts:
+		return nil, Answer{Reason: Overload, RetryAfter: r.jitter()}
+	case missing > len(limited):
+		return nil, Answer{Reason: NoServer, RetryAfter: r.jitter()}
+	case missing > 0:
+		return nil, q.refuseLimited(now, limited, missing)
+	}
+	targets = make([]*server, len(q.shards))
+	for i := range q.shards {
+		s := &q.shards[i]
+		if !s.noMoreSends {
+			targets[i] = q.reserveServer(now, s, firstSend)
+			s.noMoreSends = targets[i] == nil
+		}
+	}
+	return targets, Answer{}
+}
+
+// roomOf tells whether a service can get a request now. The caller holds the lock.
+func (r *Relayer) roomOf(now time.Time, routing *routingState, service string) shardRoom {
+	result := noServer
+	m := routing.services[service]
+	for _, names := range [][]string{m.ready, m.silent} {
+		for _, name := range names {
+			if !routing.servers[name].reachable() {
+				continue
+			}
+			if r.limits.HasRoom(now, name) {
+				return room
+			}
+			result = noRoom
+		}
+		if result == noRoom {
+			break
+		}
+	}
+	return result
+}
+
+// refuseLimited refuses a request because of rate limits. It may return when as many of
+// the limited services as are missing have room. If this host has no share of their
+// limits, another one may take the request at any time. The caller holds the lock.
+func (q *query) refuseLimited(now time.Time, limited []string, missing int) Answer {
+	r := q.relayer
+	type wait struct {
+		server string
+		until  time.Time
+	}
+	var waits []wait
+	for _, service := range limited {
+		var next wait
+		for _, name := range q.routing.services[service].ready {
+			at, ok := r.limits.NextRoom(now, name)
+			if ok && q.routing.servers[name].reachable() && (next.server == "" || at.Before(next.until)) {
+				next = wait{server: name, until: at}
+			}
+		}
+		if next.server != "" {
+			waits = append(waits, next)
+		}
+	}
+	slices.SortFunc(waits, func(a, b wait) int { return a.until.Compare(b.until) })
+	retryAfter := r.jitter()
+	if len(waits) >= missing {
+		for _, w := range waits[:missing] {
+			r.limits.Promise(w.server, w.until)
+		}
+		retryAfter = max(retryAfter, waits[missing-1].until.Sub(now))
+	}
+	r.config.Log.Info("no room within rate limits", "request", q.id, "route", q.route.Name, "services", limited, "missing", missing,
+		"retry", retryAfter)
+	return Answer{Reason: RateLimited, RetryAfter: retryAfter}
+}
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -36,6 +36,9 @@
 	Shed // shed
 	// Overload means that the services are congested.
 	Overload // overload
+	// RateLimited means that too few servers have room within the rate limits that they
+	// name.
+	RateLimited // rate limited
 	// Expired means that the time limit passed before the request was sent.
 	Expired // expired
 	// Broken means that servers or their connections failed after the request had been
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -101,11 +101,9 @@
 		res.server.load.Store(&reportedLoad{Load: l, receivedAt: now})
 		r.selector.LoadReported(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
 	}
-	if res.err == nil {
-		r.noteLimit(res)
-	}
+	r.observeLimit(now, q.id, res)
 	if signal, ok := q.loadSignal(now, res); ok {
-		congested := signal.Congested() && q.routing.othersCongested(now, res.server)
+		congested := signal.Congested() && r.othersCongested(now, q.routing, res.server)
 		r.throttle(res.server.Service).Observe(now, now.Add(-res.latency), congested)
 	}
 	switch res.status {
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -53,6 +53,13 @@
 		s.noMoreSends = s.noMoreSends || cause != hedgeSend
 		return false
 	}
+	q.startSend(ctx, i, target, cause)
+	return true
+}
+
+// startSend starts a send for shard i to the server that was chosen for it.
+func (q *query) startSend(ctx context.Context, i int, target *server, cause sendCause) {
+	s := &q.shards[i]
 	q.relayer.reportResend(q, s, target, cause)
 	s.triedServers = append(s.triedServers, target.Name)
 	s.attempts++
@@ -65,22 +72,29 @@
 		q.retryCount++
 	}
 	go q.send(ctx, i, target)
-	return true
 }
 
-// chooseServer selects a server for a send, counts the send as in flight in the
-// selector, and takes a token from the service's budget for a hedge or a retry.
-// It returns nil if there is no server or no budget.
+// chooseServer selects a server for a send. See reserveServer.
 func (q *query) chooseServer(s *shardState, cause sendCause) *server {
+	q.relayer.mu.Lock()
+	defer q.relayer.mu.Unlock()
+	return q.reserveServer(time.Now(), s, cause)
+}
+
+// reserveServer selects a server for a send, counts the send as in flight in the selector
+// and against the server's rate limit, and takes a token from the service's budget for a
+// hedge or a retry. It returns nil if there is no server or no budget. The caller holds
+// the lock.
+func (q *query) reserveServer(now time.Time, s *shardState, cause sendCause) *server {
 	r := q.relayer
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
 	budget := r.serviceBudget(now, s.service)
 	if cause == firstSend {
 		budget.AddEvent()
 	}
-	target := r.pickServer(q.routing, s.service, s.triedServers)
+	target, withheld := r.pickServer(now, q.routing, s.service, s.triedServers)
+	if withheld > 0 && s.hedgeRetryAt.IsZero() {
+		r.config.Scope.Tagged(map[string]string{"cause": cause.String()}).Counter("sends_withheld").Inc(int64(withheld))
+	}
 	if target == nil {
 		return nil
 	}
@@ -94,6 +108,7 @@
 			return nil
 		}
 	}
+	r.limits.Take(now, target.Name)
 	r.selector.Started(target.Name, target.Incarnation)
 	return target
 }
@@ -119,10 +134,11 @@
 // pickServer returns the best server of a service that is not in tried: a ready one
 // or, if there is none, a silent one, which has not checked in for a while. Servers
 // that are down are skipped until a connection to them has been opened, because
-// waiting for the connection would make the answer late. The caller holds the lock.
-func (r *Relayer) pickServer(routing *routingState, service string, tried []string) *server {
+// waiting for the connection would make the answer late. Servers without room in their
+// rate limit are skipped too; withheld is the number of those that would have been
+// chosen. The caller holds the lock.
+func (r *Relayer) pickServer(now time.Time, routing *routingState, service string, tried []string) (target *server, withheld int) {
 	m := routing.services[service]
-	now := time.Now()
 	for _, names := range [][]string{m.ready, m.silent} {
 		excluded := tried
 		for {
@@ -130,11 +146,18 @@
 			if !ok {
 				break
 			}
-			if s := routing.servers[name]; !s.misdirected.Load() && !s.down.Load() {
-				return s
+			if s := routing.servers[name]; s.reachable() {
+				if r.limits.HasRoom(now, name) {
+					return s, withheld
+				}
+				withheld++
 			}
 			excluded = append(slices.Clone(excluded), name)
 		}
+		// A server that is only silent is no substitute for one with a rate limit.
+		if withheld > 0 {
+			break
+		}
 	}
-	return nil
+	return nil, withheld
 }
--- a/internal/route/relayer/final_answer.go
+++ b/internal/route/relayer/final_answer.go
@@ -59,5 +59,10 @@
 func (r *Relayer) retryAfter() time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.jitter()
+}
+
+// jitter is retryAfter for callers that hold the lock.
+func (r *Relayer) jitter() time.Duration {
 	return minRetryAfter + time.Duration(r.rand.Int64N(int64(2*minRetryAfter)))
 }
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -89,6 +89,9 @@
 	// congestedShards is the number of shards that get no request because they are
 	// congested.
 	congestedShards int
+	// limitedShards is the number of shards that get no request because all of their
+	// servers name a rate limit and this host has no room within it.
+	limitedShards int
 }
 
 // shardState is the state of one shard of a fan-out. A request to a single server has
@@ -206,12 +209,13 @@
 // run sends the request to all shards and handles results, hedges and timeouts until
 // the final answer is decided.
 func (q *query) run(ctx context.Context) Answer {
-	if !q.admit() {
-		return Answer{Reason: Overload, RetryAfter: q.relayer.retryAfter()}
+	targets, refusal := q.admit()
+	if refusal.Reason != Served {
+		return refusal
 	}
-	for i := range q.shards {
-		if !q.shards[i].noMoreSends {
-			q.sendToShard(ctx, i, firstSend)
+	for i, target := range targets {
+		if target != nil {
+			q.startSend(ctx, i, target, firstSend)
 		}
 	}
 	timer := time.NewTimer(time.Hour)
@@ -240,26 +244,6 @@
 	}
 }
 
-// admit decides by the throttle of each service which shards are left out as congested,
-// and reports whether the request is sent at all. If not, it is refused before it uses
-// capacity of the other shards.
-func (q *query) admit() bool {
-	r := q.relayer
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	left := len(q.shards)
-	for i := range q.shards {
-		s := &q.shards[i]
-		share := r.throttle(s.service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
-		if share < 1 && r.rand.Float64() >= share {
-			s.noMoreSends = true
-			q.congestedShards++
-			left--
-		}
-	}
-	return left >= q.plan.MinParts
-}
-
 // openShards returns the number of shards from which a part may still come.
 func (q *query) openShards() int {
 	n := 0
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -18,15 +18,16 @@
 	_ = x[NoServer-7]
 	_ = x[Shed-8]
 	_ = x[Overload-9]
-	_ = x[Expired-10]
-	_ = x[Broken-11]
-	_ = x[TimedOut-12]
-	_ = x[ClientLeft-13]
+	_ = x[RateLimited-10]
+	_ = x[Expired-11]
+	_ = x[Broken-12]
+	_ = x[TimedOut-13]
+	_ = x[ClientLeft-14]
 }
 
-const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 103, 109, 118, 129}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 115, 121, 130, 141}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/route/admitter"
+	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/hedger"
 	"gentianpond/internal/search/selector"
@@ -163,6 +164,8 @@
 	budgets map[string]*hostBudget
 	// startedAt is when New was called.
 	startedAt time.Time
+	// limits holds the rate limits that servers name.
+	limits pacer.Pacer
 	// throttles holds the throttles by service name.
 	throttles map[string]*admitter.Throttle
 	// hostCount is the number of hosts among which budgets and connections are
@@ -205,14 +208,15 @@
 // its shards.
 func (r *Relayer) CanServe() bool { return r.routing.Load().canServe() }
 
-// Update installs a routing table, the servers of the registry and the number of
-// hosts, which is 0 while it is unknown.
-func (r *Relayer) Update(ctx context.Context, table *router.Table, registry []registrar.Server, hostCount int) {
+// Update installs a routing table, the servers of the registry and the place of this
+// host among the entry hosts.
+func (r *Relayer) Update(ctx context.Context, table *router.Table, registry []registrar.Server, position pacer.Position) {
 	r.runCtx.CompareAndSwap(nil, &ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if hostCount > 0 {
-		r.hostCount = hostCount
+	if position.Count > 0 && position != r.limits.Position() {
+		r.hostCount = position.Count
+		r.limits.Move(time.Now(), position)
 	}
 	old := r.routing.Load()
 	next := newRoutingState(table)
@@ -223,6 +227,7 @@
 		if _, ok := next.servers[name]; !ok {
 			s.pool.Close()
 			r.selector.Remove(name)
+			r.limits.Remove(name)
 		}
 	}
 	for _, b := range r.budgets {
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -29,7 +29,7 @@
 	}
 	r.config.Log.Warn("request late, incomplete or failed", "request", q.id, "route", q.route.Name, "reason", a.Reason, "status", a.Status,
 		"took", took, "objective", q.route.Objective, "late", late, "missing", a.MissingParts, "shards", len(q.shards),
-		"out", q.congestedShards, "hedges", q.hedgeCount, "retries", q.retryCount, "table", q.routing.table.Version, "control", r.controlAge())
+		"out", q.congestedShards, "limited", q.limitedShards, "hedges", q.hedgeCount, "retries", q.retryCount, "table", q.routing.table.Version, "control", r.controlAge())
 }
 
 // Refuse logs and counts a request that ends before a route was chosen for it,
@@ -101,19 +101,3 @@
 	r.config.Log.Info("send to backend server failed", "request", q.id, "route", q.route.Name, "service", res.server.Service, "server", res.server.Name,
 		"outcome", res.status, "status", status, "took", res.latency, "err", res.err)
 }
-
-// noteLimit logs a change of the rate limit that a server names. An unreadable limit
-// changes nothing. The caller holds the lock.
-func (r *Relayer) noteLimit(res sendResult) {
-	s, named := res.server, res.metadata.Limit
-	if named.Named && named.Rate == 0 {
-		r.config.Scope.Counter("limits_unreadable").Inc(1)
-		return
-	}
-	if named.Rate == s.limit {
-		return
-	}
-	r.config.Log.Info("rate limit of a backend server changed", "server", s.Name, "service", s.Service, "limit", named.Rate, "before", s.limit,
-		"request", res.metadata.RequestID, "hosts", r.hostCount)
-	s.limit = named.Rate
-}
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -48,11 +48,11 @@
 	down atomic.Bool
 	// load is the latest load that the server reported.
 	load atomic.Pointer[reportedLoad]
-	// limit is the rate limit that the server named last, 0 if its last answer named
-	// none. The lock of the relayer guards it.
-	limit float64
 }
 
+// reachable reports whether requests may be sent to the server.
+func (s *server) reachable() bool { return !s.misdirected.Load() && !s.down.Load() }
+
 // reportedLoad is a load with the time at which this host received it.
 type reportedLoad struct {
 	Load
@@ -64,12 +64,13 @@
 const maxLoadAge = time.Second
 
 // othersCongested reports whether all other ready servers of a service that can be
-// reached had at least as many requests waiting as slots when they last reported their
-// load. As long as one had not, requests are better sent there than refused.
-func (state *routingState) othersCongested(now time.Time, except *server) bool {
+// reached, and whose rate limits have room, had at least as many requests waiting as
+// slots when they last reported their load. As long as one had not, requests are better
+// sent there than refused. The caller holds the lock.
+func (r *Relayer) othersCongested(now time.Time, state *routingState, except *server) bool {
 	for _, name := range state.services[except.Service].ready {
 		s := state.servers[name]
-		if s == except || s.misdirected.Load() || s.down.Load() {
+		if s == except || !s.reachable() || !r.limits.HasRoom(now, name) {
 			continue
 		}
 		l := s.load.Load()
@@ -130,6 +131,9 @@
 	} else {
 		if ok {
 			current.pool.Close()
+			if current.Incarnation != s.Incarnation {
+				r.limits.Remove(s.Name)
+			}
 		}
 		current = &server{Server: s, pool: connector.New(s.Address, limit)}
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -40,10 +40,12 @@
 	seed   uint64
 	system *standin.System
 
-	mu              sync.Mutex
-	rand            *rand.Rand
-	backends        []*standin.Backend
-	proxies         map[*standin.Backend]*standin.Proxy
+	mu       sync.Mutex
+	rand     *rand.Rand
+	backends []*standin.Backend
+	proxies  map[*standin.Backend]*standin.Proxy
+	// limited holds the proxies of backend servers that name a rate limit.
+	limited         map[*standin.Proxy]bool
 	services        map[string]string
 	createdBackends int
 	outcomes        map[string]clientResult
@@ -117,6 +119,7 @@
 	}
 	s := &soak{
 		seed: seed, rand: rand.New(rand.NewPCG(seed, 7)), proxies: map[*standin.Backend]*standin.Proxy{},
+		limited:  map[*standin.Proxy]bool{},
 		services: map[string]string{}, outcomes: map[string]clientResult{},
 	}
 	network := byte(30 + seed%200)
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,9 @@
 	// instead of an answer, RefuseRate the share that is refused without running,
 	// DuplicateRate the share that is answered twice.
 	ResetRate, RefuseRate, DuplicateRate float64
+	// Limit is the rate limit, in requests a second, that the server names in its
+	// answers, 0 for none.
+	Limit float64
 }
 
 // Backend is a fake backend server, from its start to its end. A restarted server
@@ -58,10 +62,12 @@
 	// lateRequests holds the arrival times of requests that came more than
 	// DrainGrace after drainAcked, the time at which draining was acknowledged.
 	lateRequests []time.Time
-	drainAcked   time.Time
-	state        string
-	sequence     int
-	cancel       context.CancelFunc
+	// limitedArrivals holds the arrival times of requests while the server names a limit.
+	limitedArrivals []time.Time
+	drainAcked      time.Time
+	state           string
+	sequence        int
+	cancel          context.CancelFunc
 }
 
 // StartBackend starts a backend server that checks in with the control hosts.
@@ -100,6 +106,26 @@
 	}
 }
 
+// MostArrivals returns the largest number of requests that arrived within any period of
+// the given length after a time, while the server named a limit.
+func (b *Backend) MostArrivals(after time.Time, length time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most, first := 0, 0
+	for i, at := range b.limitedArrivals {
+		for b.limitedArrivals[first].Before(after) || at.Sub(b.limitedArrivals[first]) > length {
+			if first == i {
+				break
+			}
+			first++
+		}
+		if !at.Before(after) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
 // LateRequests returns the arrival times of requests that came more than
 // DrainGrace after draining was acknowledged.
 func (b *Backend) LateRequests() []time.Time {
@@ -174,6 +200,12 @@
 		return
 	}
 	v := b.behavior.Load()
+	if v.Limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(v.Limit, 'f', -1, 64))
+		b.mu.Lock()
+		b.limitedArrivals = append(b.limitedArrivals, time.Now())
+		b.mu.Unlock()
+	}
 	if b.randomFloat() < v.RefuseRate {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
