Log when a host is cut off from all backend servers

Logs could not tell a host that has lost its links from servers that are down. A detector takes the servers that failed since any was reached, while the control hosts still hear from them. Only the log and a counter use it.

--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -102,6 +102,7 @@
 		r.selector.LoadReported(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
 	}
 	r.observeLimit(now, q.id, res)
+	r.observeLinks(now, res)
 	if signal, ok := q.loadSignal(now, res); ok {
 		congested := signal.Congested() && r.othersCongested(now, q.routing, res.server)
 		r.throttle(res.server.Service).Observe(now, now.Add(-res.latency), congested)
--- a/internal/route/relayer/down.go
+++ b/internal/route/relayer/down.go
@@ -36,6 +36,9 @@
 			}
 			if s.pool.Connect(ctx) == nil {
 				s.down.Store(false)
+				r.mu.Lock()
+				r.linkWorks(time.Now(), s)
+				r.mu.Unlock()
 				r.config.Log.Info("backend server is up", "server", s.Name, "service", s.Service, "after", time.Since(start))
 				return
 			}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -26,6 +26,7 @@
 	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/route/admitter"
+	"gentianpond/internal/route/detector"
 	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/hedger"
@@ -166,6 +167,8 @@
 	startedAt time.Time
 	// limits holds the rate limits that servers name.
 	limits pacer.Pacer
+	// links tells whether this host has lost its links to the servers.
+	links detector.Detector
 	// throttles holds the throttles by service name.
 	throttles map[string]*admitter.Throttle
 	// hostCount is the number of hosts among which budgets and connections are
@@ -233,6 +236,7 @@
 	for _, b := range r.budgets {
 		b.Resize(r.burstCapacity())
 	}
+	r.updateLinks(next)
 	r.routing.Store(next)
 }
 
