Do not take a server as reachable because all of its connections are in use

What callers saw: while a host was cut off from the backend servers, some of its requests waited for a second or more and ended with 502 or 504, where others were refused at once.

Cause: a server that is down counts as up once a background attempt to connect returns no error. At the limit of connections Connect did nothing and returned none, also when all open connections hang. The server was chosen again at once.

Change: Connect returns ErrAtLimit. The attempt then closes idle connections, so that the next one opens a new one; those in use make room when they end.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -51,6 +51,8 @@
 	// connection closed or carried something that is not a complete response. The
 	// server may have run the request.
 	ErrBroken = errors.New("connection broke after the request was sent")
+	// ErrAtLimit means that all connections that the pool may have are open.
+	ErrAtLimit = errors.New("all connections are open")
 	// ErrClosed means that the pool is closed. Do joins it with ErrUnsent.
 	ErrClosed = errors.New("pool is closed")
 )
@@ -173,8 +175,8 @@
 	}
 }
 
-// Connect opens a connection for later requests. At the connection limit it does
-// nothing. The error is ErrClosed or that of the dialer.
+// Connect opens a connection for later requests. The error is ErrClosed, ErrAtLimit or
+// that of the dialer.
 func (p *Pool) Connect(ctx context.Context) error {
 	p.mu.Lock()
 	if p.closed {
@@ -183,7 +185,7 @@
 	}
 	if p.openConns >= p.connLimit {
 		p.mu.Unlock()
-		return nil
+		return ErrAtLimit
 	}
 	p.openConns++
 	p.mu.Unlock()
--- a/internal/route/relayer/down.go
+++ b/internal/route/relayer/down.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/backend/connector"
 )
 
 const (
@@ -34,7 +38,13 @@
 			if r.routing.Load().servers[s.Name] != s {
 				return
 			}
-			if s.pool.Connect(ctx) == nil {
+			err := s.pool.Connect(ctx)
+			if errors.Is(err, connector.ErrAtLimit) {
+				// Only a new connection shows that the server can be reached: open ones may
+				// hang. Those in use make room when they end.
+				s.pool.CloseIdle()
+			}
+			if err == nil {
 				s.down.Store(false)
 				r.mu.Lock()
 				r.linkWorks(time.Now(), s)
