Hand requests over to another entry host while servers cannot be reached

Cause: a host reaches backend servers over its own links only, and takes its own view for that of the system. It knew within half a second that it could reach no server while the control hosts heard from all of them, and had no other way.

Change: it hands the whole request to another entry host, once, and only as long as no server can have received it. The control leader tells hosts of each other. A request that fails before a server has received it waits for its cancelled sends, so that it is known not to have run.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -100,8 +100,8 @@
 type Pool struct {
 	// address is that of the backend server.
 	address netip.AddrPort
-	// dialer opens new connections to the backend server.
-	dialer net.Dialer
+	// connect opens new connections to the backend server.
+	connect DialFunc
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -125,11 +125,25 @@
 // New returns a pool of at most limit connections to the server at address.
 // Connections are opened on demand.
 func New(address netip.AddrPort, limit int) *Pool {
-	return &Pool{address: address, connLimit: max(limit, 1), idleTimeout: defaultIdleTimeout, dialer: net.Dialer{
+	return NewWithDial(address, limit, dialTCP)
+}
+
+// NewWithDial is New with a function that opens the connections.
+func NewWithDial(address netip.AddrPort, limit int, dial DialFunc) *Pool {
+	return &Pool{address: address, connLimit: max(limit, 1), idleTimeout: defaultIdleTimeout, connect: dial}
+}
+
+// DialFunc opens a connection to a backend server.
+type DialFunc func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+// dialTCP is the DialFunc of New.
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setTCPUserTimeout,
-	}}
+	}
+	return d.DialContext(ctx, "tcp4", address.String())
 }
 
 // setTCPUserTimeout applies unackedTimeout to a new socket.
@@ -176,7 +190,7 @@
 }
 
 // Connect opens a connection for later requests. The error is ErrClosed, ErrAtLimit or
-// that of the dialer.
+// that of the DialFunc.
 func (p *Pool) Connect(ctx context.Context) error {
 	p.mu.Lock()
 	if p.closed {
@@ -419,7 +433,7 @@
 
 // dial opens a connection, for which the caller has reserved room in openConns.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp4", p.address.String())
+	raw, err := p.connect(ctx, p.address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/backend/connector/connector_test.go
+++ b/internal/backend/connector/connector_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // testTimeout bounds every wait for an expected event.
@@ -376,3 +377,27 @@
 	require.NoError(t, err)
 	require.Equal(t, "/4", string(res.Body))
 }
+
+// TestSocketOptions guards against connections that hang for longer than this package
+// states, because a library sets other timeouts. TCP_USER_TIMEOUT also decides when
+// keep-alive probes give up.
+func TestSocketOptions(t *testing.T) {
+	address := serveConns(t, func(_ int, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	c, err := dialTCP(t.Context(), address)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, c.Close()) }()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	for option, want := range map[int]int{
+		unix.TCP_USER_TIMEOUT: int(unackedTimeout.Milliseconds()),
+		unix.TCP_KEEPIDLE:     int(keepAliveIdle.Seconds()),
+		unix.TCP_KEEPINTVL:    int(keepAliveInterval.Seconds()),
+		unix.TCP_KEEPCNT:      keepAliveCount,
+	} {
+		var value int
+		var failure error
+		require.NoError(t, raw.Control(func(fd uintptr) { value, failure = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option) }))
+		require.NoError(t, failure)
+		require.Equal(t, want, value, "option %d", option)
+	}
+}
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"gentianpond/internal/protocol/messenger"
 )
 
@@ -31,59 +29,13 @@
 	done      func(*messenger.WatchReply, error)
 }
 
-// watchTracker holds when each entry host last sent a watch request to this leader. It
-// serves to count the entry hosts.
-type watchTracker struct {
-	// trackingSince is when this host began to receive watch requests as the leader.
-	trackingSince time.Duration
-	// lastWatch holds the loop's time of the latest watch request by the name of the
-	// entry host.
-	lastWatch map[string]time.Duration
-}
-
-// newWatchTracker returns the tracker of a leader that begins to receive watch requests
-// at now.
-func newWatchTracker(now time.Duration) *watchTracker {
-	return &watchTracker{trackingSince: now, lastWatch: map[string]time.Duration{}}
-}
-
-// recordWatch records that a watch request of the named entry host arrived at now.
-func (t *watchTracker) recordWatch(now time.Duration, host string) { t.lastWatch[host] = now }
-
-// countHosts returns the number of entry hosts that watch, or 0 while this host has led
-// for too short a time to know them all.
-func (t *watchTracker) countHosts(now time.Duration) uint32 {
-	for name, at := range t.lastWatch {
-		if now-at > watchRetention {
-			delete(t.lastWatch, name)
-		}
-	}
-	if now-t.trackingSince < watchRetention {
-		return 0
-	}
-	return uint32(len(t.lastWatch))
-}
-
-// rankOf returns the place of an entry host among those that watch. The hosts are
-// ordered by a hash of their names, so that neighbors are in different zones.
-func (t *watchTracker) rankOf(host string) uint32 {
-	own := xxhash.Sum64String(host)
-	rank := uint32(0)
-	for name := range t.lastWatch {
-		if h := xxhash.Sum64String(name); h < own || h == own && name < host {
-			rank++
-		}
-	}
-	return rank
-}
-
 // handleWatch holds a request until there is news for it. A request that seeks the
 // leader is held until there is one.
 func (l *loop) handleWatch(r *messenger.WatchRequest, done func(*messenger.WatchReply, error)) {
 	now := l.now()
 	leads, leader := l.isLeader(), l.leaderAddress()
 	if leads {
-		l.watchingHosts.recordWatch(now, r.GetHost())
+		l.watchingHosts.recordWatch(now, r)
 		l.recordLimits(now, r)
 	}
 	if leads && r.GetSeek() {
@@ -107,7 +59,7 @@
 	if len(l.heldWatches) == 0 || now < l.nextWatchCheck {
 		return
 	}
-	l.nextWatchCheck = now + max(minWatchInterval, time.Duration(len(l.watchingHosts.lastWatch))*watchIntervalPerHost)
+	l.nextWatchCheck = now + max(minWatchInterval, time.Duration(len(l.watchingHosts.hosts))*watchIntervalPerHost)
 	leads, leader := l.isLeader(), l.leaderAddress()
 	kept := l.heldWatches[:0]
 	for _, w := range l.heldWatches {
@@ -159,6 +111,7 @@
 	}
 	if reply.Hosts > 0 {
 		reply.Rank = l.watchingHosts.rankOf(r.GetHost())
+		l.addPeers(reply, r)
 	}
 	reply.Limits = l.limits.lastChange
 	reply.Changed = l.limits.changesSince(now, l.keeper.Registry(), r.GetLimits())
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -72,11 +72,21 @@
 	EntryHosts int
 	// HostRank is the place of this host among them, from 0 to EntryHosts-1.
 	HostRank int
+	// Peers are some of the other entry hosts, which may take requests over.
+	Peers []Peer
 	// LastReply is the time of the leader's last reply.
 	LastReply time.Time
 
 	// registryIndex is the index of the newest registry change in Servers.
 	registryIndex uint64
+	// peersFingerprint identifies Peers to the leader.
+	peersFingerprint uint64
+}
+
+// Peer is another entry host: the address at which it serves this one, and its zone.
+type Peer struct {
+	Address netip.AddrPort
+	Zone    string
 }
 
 // WatcherConfig configures a Watcher.
@@ -86,6 +96,9 @@
 	// Incarnation is the number of this start of the entry host. It is larger than those
 	// of earlier starts.
 	Incarnation uint64
+	// Peer describes this host to the other entry hosts. Its address is the zero value if
+	// it takes over no requests.
+	Peer Peer
 	// Seeds are the addresses of some control hosts; the leader sends the others.
 	Seeds []netip.AddrPort
 	// OnChange is called after each change except of LastReply, one call at a time.
@@ -181,6 +194,9 @@
 	s := w.State()
 	request := w.newWatchRequest(s.Version, s.registryIndex, hold)
 	w.addLimits(request)
+	if w.config.Peer.Address.IsValid() {
+		request.Peer, request.Zone, request.Peers = w.config.Peer.Address.String(), w.config.Peer.Zone, s.peersFingerprint
+	}
 	reply, err := callWatch(ctx, w.leader.client, request, timeout)
 	if err == nil && reply.GetGranted() {
 		w.applyWatchReply(reply, time.Now())
@@ -337,6 +353,10 @@
 		changed = true
 		w.config.Log.Info("number of entry hosts changed", "hosts", hosts, "before", old.EntryHosts, "rank", rank)
 	}
+	if f := reply.GetPeers(); f != 0 && f != old.peersFingerprint {
+		next.Peers, next.peersFingerprint = decodePeers(reply.GetPeer()), f
+		changed = true
+	}
 	w.setControlHosts(reply.GetControl())
 	w.state.Store(&next)
 	if changed {
@@ -345,6 +365,17 @@
 	w.learnLimits(reply, now)
 }
 
+// decodePeers returns the entry hosts of a list. Invalid addresses are left out.
+func decodePeers(list []*messenger.Peer) []Peer {
+	peers := make([]Peer, 0, len(list))
+	for _, m := range list {
+		if a, err := netip.ParseAddrPort(m.GetAddress()); err == nil {
+			peers = append(peers, Peer{Address: a, Zone: m.GetZone()})
+		}
+	}
+	return peers
+}
+
 // mergeRegistrations returns the servers after the changes of a reply, sorted by
 // name. A complete reply replaces them all.
 func (w *Watcher) mergeRegistrations(old []registrar.Server, reply *messenger.WatchReply) []registrar.Server {
--- /dev/null
+++ b/internal/host/delegator/message.go
@@ -0,0 +1,80 @@
+package delegator
+
+import (
+	"net/http"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/route/relayer"
+)
+
+// encodeRequest returns the message for a request at the time now.
+func encodeRequest(r relayer.Request, now time.Time, nonce uint64) *messenger.ForwardRequest {
+	m := &messenger.ForwardRequest{
+		Nonce: nonce, Table: r.Table, Id: r.ID, Method: r.Method, Target: r.Target, Path: r.Path, Host: r.Host, HostHeader: r.HostHeader,
+		Header: encodeHeader(r.Header), Body: r.Body, Elapsed: durationpb.New(now.Sub(r.Received)), Transit: durationpb.New(r.TransitTime),
+		Counted: r.Counted,
+	}
+	if !r.Deadline.IsZero() {
+		m.Left = durationpb.New(r.Deadline.Sub(now))
+	}
+	return m
+}
+
+// decodeRequest returns the request of a message that arrived at now.
+func decodeRequest(m *messenger.ForwardRequest, now time.Time) relayer.Request {
+	r := relayer.Request{
+		ID: m.GetId(), Method: m.GetMethod(), Target: m.GetTarget(), Path: m.GetPath(), Host: m.GetHost(), HostHeader: m.GetHostHeader(),
+		Header: decodeHeader(m.GetHeader()), Body: m.GetBody(), Received: now.Add(-m.GetElapsed().AsDuration()),
+		TransitTime: m.GetTransit().AsDuration(), Delegated: true, Table: m.GetTable(), Counted: m.GetCounted(),
+	}
+	if m.GetLeft() != nil {
+		r.Deadline = now.Add(m.GetLeft().AsDuration())
+	}
+	return r
+}
+
+// encodeAnswer returns the message for an answer.
+func encodeAnswer(a relayer.Answer) *messenger.ForwardReply {
+	return &messenger.ForwardReply{
+		Reason: a.Reason.String(), Status: uint32(a.Status), Header: encodeHeader(a.Header), Body: a.Body, Stamps: a.Stamps,
+		MissingParts: uint32(a.MissingParts), RetryAfter: durationpb.New(a.RetryAfter),
+	}
+}
+
+// decodeReply returns the answer of a message.
+func decodeReply(m *messenger.ForwardReply) relayer.Answer {
+	return relayer.Answer{
+		Reason: reasonOf(m.GetReason()), Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeader()), Body: m.GetBody(), Stamps: m.GetStamps(),
+		MissingParts: int(m.GetMissingParts()), RetryAfter: m.GetRetryAfter().AsDuration(),
+	}
+}
+
+// reasonOf returns the reason with a name. An unknown one, of another version, promises
+// nothing.
+func reasonOf(name string) relayer.Reason {
+	for r := relayer.Served; r <= relayer.ClientLeft; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	return relayer.Broken
+}
+
+func encodeHeader(h http.Header) []*messenger.HeaderField {
+	var list []*messenger.HeaderField
+	for name, values := range h {
+		list = append(list, &messenger.HeaderField{Name: name, Values: values})
+	}
+	return list
+}
+
+func decodeHeader(list []*messenger.HeaderField) http.Header {
+	h := make(http.Header, len(list))
+	for _, f := range list {
+		h[f.GetName()] = f.GetValues()
+	}
+	return h
+}
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"gentianpond/internal/control/subscriber"
+	"gentianpond/internal/host/delegator"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/route/relayer"
@@ -78,6 +80,11 @@
 	relayer *relayer.Relayer
 	// watcher receives updates from the control hosts and passes them to applyUpdate.
 	watcher *subscriber.Watcher
+	// delegator hands requests over to other entry hosts, and service serves theirs on
+	// peerListener. They are nil if this host takes no part in that.
+	delegator    *delegator.Delegator
+	service      *delegator.Service
+	peerListener net.Listener
 	// clientServer serves clients on clientListener.
 	clientServer *http.Server
 	// readinessServer serves the load balancer's health checks on readinessListener.
@@ -111,8 +118,15 @@
 	if err != nil {
 		return nil, errors.Join(errors.Wrap(err, "listen for readiness checks"), listen.Close())
 	}
-	f := &Forwarder{settings: s, adapter: a, log: logger, readinessListener: ready, drained: make(chan struct{})}
+	peers, err := listenForPeers(s.Peer)
+	if err != nil {
+		return nil, errors.Join(err, listen.Close(), ready.Close())
+	}
+	f := &Forwarder{settings: s, peerListener: peers, adapter: a, log: logger, readinessListener: ready, drained: make(chan struct{})}
 	f.clientListener = newClientListener(listen, f.clientTimeouts)
+	if peers != nil {
+		f.delegator = delegator.New(delegator.Config{Address: s.Peer, Zone: s.Zone, Log: logger, Scope: scope.SubScope("peer")})
+	}
 	f.relayer = relayer.New(relayer.Config{
 		Zone:        s.Zone,
 		Codec:       a.Codec,
@@ -120,13 +134,17 @@
 		TransitTime: a.ClientMargin,
 		AnswerBytes: s.AnswerBytes,
 		HostBytes:   s.MemoryBytes / answerMemoryDivisor,
+		Delegator:   f.requestDelegator(),
 		ControlAge:  func() time.Duration { return time.Since(f.watcher.State().LastReply) },
 		Log:         logger,
 		Scope:       scope.SubScope("relay"),
 	})
+	if peers != nil {
+		f.service = delegator.NewService(f.delegator, f.relayer)
+	}
 	f.watcher = subscriber.NewWatcher(subscriber.WatcherConfig{
 		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Limits: f.relayer,
-		Log: logger,
+		Peer: subscriber.Peer{Address: s.Peer, Zone: s.Zone}, Log: logger,
 	})
 	f.clientServer = &http.Server{
 		Handler:           f.limitBody(a.NewEntryHandler(transitRelayer{f})),
@@ -140,6 +158,26 @@
 	return f, nil
 }
 
+// listenForPeers listens for other entry hosts, unless there is no address for them.
+func listenForPeers(address netip.AddrPort) (net.Listener, error) {
+	if !address.IsValid() {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for other entry hosts")
+	}
+	return l, nil
+}
+
+// requestDelegator returns the delegator of the relayer, or nil if there is none.
+func (f *Forwarder) requestDelegator() relayer.Delegator {
+	if f.delegator == nil {
+		return nil
+	}
+	return f.delegator
+}
+
 // Ready reports whether the host accepts clients' requests: it is not draining, and
 // since its start it has known servers for all routes, or waited for them for
 // maxServerWait. A host that has lost contact with control stays ready and uses the
@@ -167,6 +205,10 @@
 		return f.watcher.Run(ctx)
 	})
 	group.Add(f.relayer.Run)
+	if f.service != nil {
+		group.Add(f.delegator.Run)
+		group.AddServer(func() error { return f.servePeers() }, f.service.Close)
+	}
 	group.AddServer(func() error { return f.serve(f.readinessServer, f.readinessListener) }, func() { _ = f.readinessServer.Close() })
 	group.AddServer(func() error { return f.serve(f.clientServer, f.clientListener) }, func() { _ = f.clientServer.Close() })
 }
@@ -186,6 +228,17 @@
 	return err
 }
 
+// servePeers serves other entry hosts until the service is closed, and during a drain
+// until Drain returns.
+func (f *Forwarder) servePeers() error {
+	err := f.service.Serve(f.peerListener)
+	if f.draining.Load() {
+		<-f.drained
+		return runner.ErrStopped
+	}
+	return err
+}
+
 // SetSeeds replaces the seeds with those of the reloaded settings.
 func (f *Forwarder) SetSeeds(s loader.RelaySettings) {
 	f.log.Info("settings reloaded", "seeds", s.Seeds)
@@ -209,6 +262,9 @@
 			f.log.Info("routing table in force", "version", w.Version, "routes", len(table.Routes()))
 		}
 	}
+	if f.delegator != nil {
+		f.delegator.SetPeers(w.Peers)
+	}
 	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers,
 		pacer.Position{Rank: w.HostRank, Count: w.EntryHosts})
 }
@@ -243,6 +299,9 @@
 	f.draining.Store(true)
 	defer close(f.drained)
 	start := time.Now()
+	if f.service != nil {
+		f.service.StopAccepting()
+	}
 	f.log.Info("stopping, waiting for the load balancer", "grace", f.settings.Grace)
 	select {
 	case <-ctx.Done():
@@ -257,5 +316,8 @@
 	if err := f.clientServer.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
 		f.log.Warn("requests in flight were aborted", "err", err)
 	}
+	if f.service != nil {
+		f.service.Drain(ctx)
+	}
 	f.log.Info("stopped")
 }
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -9,8 +9,10 @@
 type shardRoom uint8
 
 const (
-	// noServer means that no server of the shard can be reached.
+	// noServer means that no server of the shard is known.
 	noServer shardRoom = iota
+	// unreachable means that servers check in, but none can be reached from this host.
+	unreachable
 	// noRoom means that all servers that can be reached name a rate limit, and this host
 	// has no room within it.
 	noRoom
@@ -43,6 +45,9 @@
 		case noRoom:
 			s.noMoreSends = true
 			limited = append(limited, s.service)
+		case unreachable:
+			s.noMoreSends = true
+			q.unreachableShards++
 		case noServer:
 			s.noMoreSends = true
 		}
@@ -65,13 +70,17 @@
 			s.noMoreSends = targets[i] == nil
 		}
 	}
+	q.counted = true
 	return targets, Answer{}
 }
 
 // roomOf tells whether a service can get a request now. The caller holds the lock.
 func (r *Relayer) roomOf(now time.Time, routing *routingState, service string) shardRoom {
-	result := noServer
 	m := routing.services[service]
+	result := noServer
+	if len(m.ready) > 0 {
+		result = unreachable
+	}
 	for _, names := range [][]string{m.ready, m.silent} {
 		for _, name := range names {
 			if !routing.servers[name].reachable() {
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -88,7 +88,7 @@
 func (q *query) reserveServer(now time.Time, s *shardState, cause sendCause) *server {
 	r := q.relayer
 	budget := r.serviceBudget(now, s.service)
-	if cause == firstSend {
+	if cause == firstSend && !q.counted {
 		budget.AddEvent()
 	}
 	target, withheld := r.pickServer(now, q.routing, s.service, s.triedServers)
--- /dev/null
+++ b/internal/route/relayer/delegate.go
@@ -0,0 +1,91 @@
+package relayer
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// hopTime is the time that a request and its answer spend between two hosts.
+const hopTime = 4 * time.Millisecond
+
+// ErrNotTaken means that no other host took a request. It has not run and will not.
+var ErrNotTaken = errors.New("no other host took the request")
+
+// Delegator hands requests over to other entry hosts.
+type Delegator interface {
+	// Delegate hands a request over and returns the final answer to it. The error wraps
+	// ErrNotTaken if no host took it; after any other error the request may have run.
+	Delegate(ctx context.Context, r Request) (Answer, error)
+}
+
+// serve answers the request, through another host if this one cannot reach the backend
+// servers. That is decided before anything was sent, or when nothing that was sent has
+// left this host, so that the other host has all attempts and the whole budget.
+func (q *query) serve(ctx context.Context, request *Request) Answer {
+	asked := false
+	if q.cutOff() {
+		asked = true
+		if a, ok := q.delegate(ctx, request); ok {
+			return a
+		}
+	}
+	a := q.run(ctx)
+	if asked || !q.unreachable(a) {
+		return a
+	}
+	if delegated, ok := q.delegate(ctx, request); ok {
+		return delegated
+	}
+	return a
+}
+
+// cutOff reports whether this host has lost its links to the backend servers.
+func (q *query) cutOff() bool {
+	q.relayer.mu.Lock()
+	defer q.relayer.mu.Unlock()
+	return q.relayer.checkLinks(time.Now())
+}
+
+// unreachable reports whether the answer is a failure to reach servers that check in with
+// the control hosts, and no server has received the request.
+func (q *query) unreachable(a Answer) bool {
+	switch a.Reason {
+	case NoServer:
+		return q.unreachableShards > 0
+	case Shed:
+		return !q.received && slices.ContainsFunc(q.shards, func(s shardState) bool {
+			return s.noMoreSends && len(q.routing.services[s.service].ready) > 0
+		})
+	}
+	return false
+}
+
+// delegate hands the request over. It reports false if no host took it, or if it has been
+// handed over before: a request passes through two hosts at most.
+func (q *query) delegate(ctx context.Context, request *Request) (Answer, bool) {
+	d := q.relayer.config.Delegator
+	if d == nil || request.Delegated {
+		return Answer{}, false
+	}
+	r := *request
+	r.Table, r.Counted = q.routing.table.Version, q.counted
+	r.Deadline = q.deadline
+	r.TransitTime = cmp.Or(r.TransitTime, q.relayer.config.TransitTime) + hopTime
+	a, err := d.Delegate(ctx, r)
+	switch {
+	case err == nil:
+		q.delegated = true
+		return a, true
+	case errors.Is(err, ErrNotTaken):
+		return Answer{}, false
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		return Answer{Reason: ClientLeft}, true
+	case ctx.Err() != nil:
+		return Answer{Reason: TimedOut}, true
+	}
+	return Answer{Reason: Broken}, true
+}
--- a/internal/route/relayer/links.go
+++ b/internal/route/relayer/links.go
@@ -34,6 +34,10 @@
 	if begun {
 		r.config.Scope.Counter("cut_offs").Inc(1)
 		r.config.Log.Warn("cut off from backend servers", "failed", e.Failed, "known", e.Known, "silence", e.Silence, "control", r.controlAge())
+		// Open connections may hang. New ones show when the links are back.
+		for _, s := range r.routing.Load().servers {
+			s.pool.CloseIdle()
+		}
 	}
 	return cutOff
 }
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -52,6 +52,12 @@
 	// TransitTime is the network time between the client and this host, both ways; 0
 	// means Config.TransitTime.
 	TransitTime time.Duration
+	// Delegated is true if another host handed the request over. Table is then the
+	// version of the routing table by which that host matched it, and Counted is true if
+	// it has counted the request for the budgets of the services.
+	Delegated bool
+	Table     uint64
+	Counted   bool
 }
 
 // query is the state of one client request. Only the goroutine of run uses it; the
@@ -92,6 +98,15 @@
 	// limitedShards is the number of shards that get no request because all of their
 	// servers name a rate limit and this host has no room within it.
 	limitedShards int
+	// unreachableShards is the number of shards whose servers check in but cannot be
+	// reached from this host.
+	unreachableShards int
+	// received is set once a server may have received the request, counted once it counts
+	// for the budgets of the services.
+	received bool
+	counted  bool
+	// delegated is set if another host answered the request.
+	delegated bool
 }
 
 // shardState is the state of one shard of a fan-out. A request to a single server has
@@ -131,6 +146,9 @@
 		return r.Refuse(&request, NotReady)
 	}
 	route, ok := routing.table.Match(request.Host, request.Path)
+	if request.Delegated && request.Table != routing.table.Version {
+		return r.Refuse(&request, NotReady)
+	}
 	if !ok {
 		return r.Refuse(&request, NoRoute)
 	}
@@ -145,7 +163,7 @@
 	q := r.newQuery(routing, route, &request, deadline)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	answer := q.run(ctx)
+	answer := q.serve(ctx, &request)
 	answer.allowance = q.request.Allowance
 	r.reportRequest(q, &request, answer)
 	return answer
@@ -166,6 +184,7 @@
 			Allowance: connector.NewAllowance(cmp.Or(r.config.AnswerBytes, defaultAnswerBytes), r.memory),
 		},
 		id:       request.ID,
+		counted:  request.Counted,
 		route:    route,
 		routing:  routing,
 		deadline: deadline,
@@ -213,9 +232,11 @@
 	if refusal.Reason != Served {
 		return refusal
 	}
+	sendCtx, cancelSends := context.WithCancel(ctx)
+	defer cancelSends()
 	for i, target := range targets {
 		if target != nil {
-			q.startSend(ctx, i, target, firstSend)
+			q.startSend(sendCtx, i, target, firstSend)
 		}
 	}
 	timer := time.NewTimer(time.Hour)
@@ -223,18 +244,22 @@
 	for {
 		now := time.Now()
 		delay := q.hedgeDelay(now)
-		q.hedgeLateShards(ctx, now, delay)
+		q.hedgeLateShards(sendCtx, now, delay)
 		verdict, until := q.plan.Decide(now, q.enoughSince, q.partCount, q.openShards())
 		switch verdict {
 		case gatherer.Reply:
 			return q.mergedAnswer()
 		case gatherer.Fail:
+			if !q.received {
+				cancelSends()
+				q.awaitCancelled()
+			}
 			return q.failureAnswer(ctx)
 		}
 		timer.Reset(time.Until(q.nextWake(until, delay)))
 		select {
 		case res := <-q.results:
-			q.handleResult(ctx, res)
+			q.handleResult(sendCtx, res)
 		case <-timer.C:
 		case <-ctx.Done():
 			if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
@@ -275,6 +300,9 @@
 func (q *query) handleResult(ctx context.Context, res sendResult) {
 	s := &q.shards[res.shard]
 	s.inFlight--
+	if res.status != caller.Unsent && res.status != caller.Refused {
+		q.received = true
+	}
 	if s.part != nil {
 		return
 	}
@@ -310,6 +338,23 @@
 	}
 }
 
+// awaitCancelled waits for the results of the sends in flight, which have been cancelled,
+// to learn whether any of them left this host. If none did, the request has not run.
+func (q *query) awaitCancelled() {
+	for i := range q.shards {
+		for q.shards[i].inFlight > 0 {
+			res := <-q.results
+			s := &q.shards[res.shard]
+			s.inFlight--
+			if res.status == caller.Unsent || res.status == caller.Refused {
+				s.attempts--
+				continue
+			}
+			q.received = true
+		}
+	}
+}
+
 // isPart reports whether an answer can be a part of a fan-out: it has a success status
 // and is signed.
 func (q *query) isPart(res sendResult) bool {
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -137,6 +137,11 @@
 	// hold, and HostBytes that of all requests. 0 means defaultAnswerBytes and no bound.
 	AnswerBytes int64
 	HostBytes   int64
+	// Dial opens the connections to backend servers. Nil means TCP connections.
+	Dial connector.DialFunc
+	// Delegator hands requests over to other hosts while this one cannot reach the backend
+	// servers. It is nil if there is no such way.
+	Delegator Delegator
 	// ControlAge returns the time since the last message from the control hosts. It is
 	// nil if that is unknown.
 	ControlAge func() time.Duration
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -23,13 +23,14 @@
 	late := took > q.route.Objective
 	if a.Reason == Served && !late && a.MissingParts == 0 && a.Status < 500 {
 		if r.sampleSuccess() {
-			r.config.Log.Info("request served", "request", q.id, "route", q.route.Name, "took", took, "hedges", q.hedgeCount, "retries", q.retryCount)
+			r.config.Log.Info("request served", "request", q.id, "route", q.route.Name, "took", took, "delegated", q.delegated, "hedges", q.hedgeCount, "retries", q.retryCount)
 		}
 		return
 	}
 	r.config.Log.Warn("request late, incomplete or failed", "request", q.id, "route", q.route.Name, "reason", a.Reason, "status", a.Status,
 		"took", took, "objective", q.route.Objective, "late", late, "missing", a.MissingParts, "shards", len(q.shards),
-		"out", q.congestedShards, "limited", q.limitedShards, "hedges", q.hedgeCount, "retries", q.retryCount, "table", q.routing.table.Version, "control", r.controlAge())
+		"out", q.congestedShards, "limited", q.limitedShards, "delegated", q.delegated,
+		"hedges", q.hedgeCount, "retries", q.retryCount, "table", q.routing.table.Version, "control", r.controlAge())
 }
 
 // Refuse logs and counts a request that ends before a route was chosen for it,
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -135,7 +136,7 @@
 				r.limits.Remove(s.Name)
 			}
 		}
-		current = &server{Server: s, pool: connector.New(s.Address, limit)}
+		current = &server{Server: s, pool: r.newPool(s.Address, limit)}
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
 		r.selector.Update(selectorServer(s, limit))
 		if s.Zone == r.config.Zone && s.State == registrar.Ready {
@@ -153,6 +154,14 @@
 	next.services[s.Service] = m
 }
 
+// newPool returns the pool of connections to a server.
+func (r *Relayer) newPool(address netip.AddrPort, limit int) *connector.Pool {
+	if r.config.Dial == nil {
+		return connector.New(address, limit)
+	}
+	return connector.NewWithDial(address, limit, r.config.Dial)
+}
+
 // selectorServer returns the selector's description of a server to which this host has
 // at most limit connections. A cold server counts as warm after the time that it
 // announced.
--- a/internal/settings/loader/addresses.go
+++ b/internal/settings/loader/addresses.go
@@ -41,6 +41,23 @@
 	return a
 }
 
+// readPeer reads the field peer, the address for other entry hosts. By default it is the
+// inner port at the address of listen, or none if that is every interface.
+func (u *usedAddresses) readPeer(o scanner.Object, listen netip.AddrPort, innerPort uint16) netip.AddrPort {
+	n, ok := o.Field("peer")
+	if !ok {
+		if !listen.IsValid() || listen.Addr().IsUnspecified() {
+			return netip.AddrPort{}
+		}
+		return netip.AddrPortFrom(listen.Addr(), innerPort)
+	}
+	a, ok := n.Address()
+	if ok && requireReachable(n, a) {
+		u.addAddress(n, a, listenConflict)
+	}
+	return a
+}
+
 // addRemote adds an address that another host listens on. It reports a fault at n if
 // other hosts cannot reach the address or the file already uses it.
 func (u *usedAddresses) addRemote(n scanner.Node, a netip.AddrPort) {
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -44,6 +44,9 @@
 	Listen netip.AddrPort
 	// Ready is the address for the load balancer's readiness checks.
 	Ready netip.AddrPort
+	// Peer is the address for other entry hosts. The zero value means that this host takes
+	// over no requests of others.
+	Peer netip.AddrPort
 	// Seeds are the inner addresses of some control hosts.
 	Seeds []netip.AddrPort
 	// Grace is how long a planned stop may take.
@@ -111,13 +114,15 @@
 func ParseRelay(name string, text []byte) (RelaySettings, error) {
 	s, root := scanner.Parse(name, text)
 	r := RelaySettings{Grace: DefaultGrace, Share: 1}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
 		var used usedAddresses
 		r.Name = readRequiredName(o, "name")
 		r.Zone = readRequiredName(o, "zone")
 		r.Listen = used.readListen(o)
 		r.Ready = readRequiredField(o, "ready", scanner.Node.Address)
-		r.Seeds = parseSeeds(o, parseInnerPort(o))
+		innerPort := parseInnerPort(o)
+		r.Seeds = parseSeeds(o, innerPort)
+		r.Peer = used.readPeer(o, r.Listen, innerPort)
 		r.Ratio = readRequiredField(o, "ratio", func(n scanner.Node) (float64, bool) { return n.Float(0, 1) })
 		r.Extra = int(readRequiredField(o, "extra", func(n scanner.Node) (uint64, bool) { return n.Uint(0, maxExtraSends) }))
 		r.Window = readRequiredField(o, "window", func(n scanner.Node) (time.Duration, bool) { return n.Duration(time.Second, time.Hour) })
