Ask another host when the one that took a request cannot reach servers either

What callers saw: in the first seconds of a cut of most hosts, 503 although other hosts could serve.

Cause: a host that had not noticed yet that it was cut off took the request, could send it to no server and refused it as shed, which the first host passes on as final.

Change: a request that was handed over and that no server can have received is answered with the reason that there is no server, so that another host is asked.

--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -34,7 +34,14 @@
 		}
 	}
 	a := q.run(ctx)
-	if asked || !q.unreachable(a) {
+	if !q.unreachable(a) {
+		return a
+	}
+	if request.Delegated {
+		// The host that handed the request over may ask another one.
+		a.Reason = NoServer
+	}
+	if asked {
 		return a
 	}
 	if delegated, ok := q.delegate(ctx, request); ok {
--- a/internal/route/relayer/delegate_test.go
+++ b/internal/route/relayer/delegate_test.go
@@ -162,3 +162,14 @@
 	}
 	require.Empty(t, other.taken())
 }
+
+// TestGivenBack guards against a host that takes a request, cannot reach the servers
+// either, and refuses it in a way that keeps others from being asked.
+func TestGivenBack(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Safe)}, map[string][]string{"s": {"a", "b"}})
+	cutLinks(env).Store(true)
+	env.reincarnate()
+	a := env.relayer.Do(t.Context(), Request{ID: "id", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h", HostHeader: "h",
+		Header: http.Header{}, Received: time.Now(), Delegated: true, Table: 1})
+	require.Equal(t, NoServer, a.Reason)
+}
