--- a/internal/protocol/messenger/dial_test.go
+++ b/internal/protocol/messenger/dial_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 )
@@ -39,3 +40,34 @@
 		require.Less(t, time.Since(start), 600*time.Millisecond)
 	}
 }
+
+// TestSocketOptions guards against connections to control hosts that hang for longer than
+// pingTimeout: grpc sets TCP_USER_TIMEOUT, which also decides when keep-alive probes give up.
+func TestSocketOptions(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer()
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(server.Stop)
+	conns := make(chan *net.TCPConn, 1)
+	conn, err := Dial(l.Addr().(*net.TCPAddr).AddrPort(), grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err == nil {
+			conns <- c.(*net.TCPConn)
+		}
+		return c, err
+	}))
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, conn.Close()) })
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		require.True(t, conn.WaitForStateChange(t.Context(), state))
+	}
+	raw, err := (<-conns).SyscallConn()
+	require.NoError(t, err)
+	var timeout int
+	var failure error
+	require.NoError(t, raw.Control(func(fd uintptr) { timeout, failure = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }))
+	require.NoError(t, failure)
+	require.Equal(t, int(pingTimeout.Milliseconds()), timeout)
+}
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -5,19 +5,19 @@
 	"time"
 )
 
-// shardRoom tells whether a shard can get a request.
-type shardRoom uint8
+// availability tells whether a service can get a request.
+type availability uint8
 
 const (
-	// noServer means that no server of the shard is known.
-	noServer shardRoom = iota
+	// unknown means that no server of the service is known.
+	unknown availability = iota
 	// unreachable means that servers check in, but none can be reached from this host.
 	unreachable
-	// noRoom means that all servers that can be reached name a rate limit, and this host
+	// limited means that all servers that can be reached name a rate limit, and this host
 	// has no room within it.
-	noRoom
-	// room means that at least one server can take the request.
-	room
+	limited
+	// available means that at least one server can take the request.
+	available
 )
 
 // admit decides which shards get the request and chooses their servers, one for each
@@ -29,7 +29,7 @@
 	defer r.mu.Unlock()
 	sent := len(q.shards)
 	open := 0
-	var limited []string
+	var limitedServices []string
 	for i := range q.shards {
 		s := &q.shards[i]
 		share := r.throttle(s.service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
@@ -39,28 +39,28 @@
 			sent--
 			continue
 		}
-		switch r.roomOf(now, q.routing, s.service) {
-		case room:
+		switch r.availabilityOf(now, q.routing, s.service) {
+		case available:
 			open++
-		case noRoom:
+		case limited:
 			s.noMoreSends = true
-			limited = append(limited, s.service)
+			limitedServices = append(limitedServices, s.service)
 		case unreachable:
 			s.noMoreSends = true
 			q.unreachableShards++
-		case noServer:
+		case unknown:
 			s.noMoreSends = true
 		}
 	}
-	q.limitedShards = len(limited)
+	q.limitedShards = len(limitedServices)
 	missing := q.plan.MinParts - open
 	switch {
 	case sent < q.plan.MinParts:
 		return nil, Answer{Reason: Overload, RetryAfter: r.jitter()}
-	case missing > len(limited):
+	case missing > len(limitedServices):
 		return nil, Answer{Reason: NoServer, RetryAfter: r.jitter()}
 	case missing > 0:
-		return nil, q.refuseLimited(now, limited, missing)
+		return nil, q.refuseLimited(now, limitedServices, missing)
 	}
 	targets = make([]*server, len(q.shards))
 	for i := range q.shards {
@@ -74,10 +74,10 @@
 	return targets, Answer{}
 }
 
-// roomOf tells whether a service can get a request now. The caller holds the lock.
-func (r *Relayer) roomOf(now time.Time, routing *routingState, service string) shardRoom {
+// availabilityOf tells whether a service can get a request now. The caller holds the lock.
+func (r *Relayer) availabilityOf(now time.Time, routing *routingState, service string) availability {
 	m := routing.services[service]
-	result := noServer
+	result := unknown
 	if len(m.ready) > 0 {
 		result = unreachable
 	}
@@ -87,11 +87,11 @@
 				continue
 			}
 			if r.limits.HasRoom(now, name) {
-				return room
+				return available
 			}
-			result = noRoom
+			result = limited
 		}
-		if result == noRoom {
+		if result == limited {
 			break
 		}
 	}
@@ -99,16 +99,16 @@
 }
 
 // refuseLimited refuses a request because of rate limits. It may return when as many of
-// the limited services as are missing have room. If this host has no share of their
+// the services as are missing have room. If this host has no share of their
 // limits, another one may take the request at any time. The caller holds the lock.
-func (q *query) refuseLimited(now time.Time, limited []string, missing int) Answer {
+func (q *query) refuseLimited(now time.Time, services []string, missing int) Answer {
 	r := q.relayer
 	type wait struct {
 		server string
 		until  time.Time
 	}
 	var waits []wait
-	for _, service := range limited {
+	for _, service := range services {
 		var next wait
 		for _, name := range q.routing.services[service].ready {
 			at, ok := r.limits.NextRoom(now, name)
@@ -128,7 +128,7 @@
 		}
 		retryAfter = max(retryAfter, waits[missing-1].until.Sub(now))
 	}
-	r.config.Log.Info("no room within rate limits", "request", q.id, "route", q.route.Name, "services", limited, "missing", missing,
+	r.config.Log.Info("no room within rate limits", "request", q.id, "route", q.route.Name, "services", services, "missing", missing,
 		"retry", retryAfter)
 	return Answer{Reason: RateLimited, RetryAfter: retryAfter}
 }
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -34,7 +34,7 @@
 		}
 	}
 	a := q.run(ctx)
-	if !q.unreachable(a) {
+	if !q.serversUnreachable(a) {
 		return a
 	}
 	if request.Delegated {
@@ -57,9 +57,9 @@
 	return q.relayer.checkLinks(time.Now())
 }
 
-// unreachable reports whether the answer is a failure to reach servers that check in with
+// serversUnreachable reports whether the answer is a failure to reach servers that check in with
 // the control hosts, and no server has received the request.
-func (q *query) unreachable(a Answer) bool {
+func (q *query) serversUnreachable(a Answer) bool {
 	switch a.Reason {
 	case NoServer:
 		return q.unreachableShards > 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -8,8 +8,9 @@
 //
 // Each host selects servers on its own, based on the registry, on the latencies
 // and failures that it observes and on the load that servers report. Extra sends
-// (hedges and retries) are limited by a budget per service, which the hosts
-// divide among them.
+// (hedges and retries) are limited by a budget per service, and all sends to a server
+// that names a rate limit by that limit; the hosts divide both among them. A host that
+// cannot reach the servers hands requests over to another one.
 package relayer
 
 import (
