--- a/internal/protocol/messenger/dial_test.go
+++ b/internal/protocol/messenger/dial_test.go
@@ -67,7 +67,9 @@
 	require.NoError(t, err)
 	var timeout int
 	var failure error
-	require.NoError(t, raw.Control(func(fd uintptr) { timeout, failure = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }))
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		timeout, failure = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
 	require.NoError(t, failure)
 	require.Equal(t, int(pingTimeout.Milliseconds()), timeout)
 }
