pacer: a host that learns of a standing limit starts without saved requests

What a server would see: after a restart of hosts, up to a burst of requests from each of them at once, though the processes before may just have used theirs.

Cause: the tokens of a limit that was learned from the control hosts counted from the time of the observation, which may be long ago.

Change and evidence: they count from the time at which the host learns of it. TestFleetKeepsLimit passes 1,500 schedules.

--- a/internal/route/pacer/pacer.go
+++ b/internal/route/pacer/pacer.go
@@ -91,7 +91,7 @@
 // Observe records an answer that this host received. It returns the change of the limit
 // in force, and false if there is none.
 func (p *Pacer) Observe(o Observation) (Change, bool) {
-	s := p.stateFor(o)
+	s := p.stateFor(o.At, o)
 	if s == nil {
 		return Change{}, false
 	}
@@ -101,8 +101,8 @@
 
 // Learn records an observation that the control hosts sent. One that is older than the
 // newest answer to this host changes nothing.
-func (p *Pacer) Learn(o Observation) (Change, bool) {
-	s := p.stateFor(o)
+func (p *Pacer) Learn(now time.Time, o Observation) (Change, bool) {
+	s := p.stateFor(now, o)
 	if s == nil {
 		return Change{}, false
 	}
@@ -116,7 +116,7 @@
 // stateFor returns the state of the observed server and creates it for a limit. It
 // returns nil if the observation shows nothing new, an earlier incarnation or a rate that
 // cannot be.
-func (p *Pacer) stateFor(o Observation) *serverState {
+func (p *Pacer) stateFor(now time.Time, o Observation) *serverState {
 	s := p.servers[o.Server]
 	if !(o.Rate >= 0 && o.Rate < math.MaxFloat64) || s != nil && o.Incarnation < s.incarnation {
 		return nil
@@ -131,7 +131,7 @@
 		}
 		// This process or the one before may just have sent requests, so the state starts
 		// without tokens and probes.
-		s = &serverState{incarnation: o.Incarnation, refilledAt: o.At, probedSlot: probeSlotNumber(o.At)}
+		s = &serverState{incarnation: o.Incarnation, refilledAt: now, probedSlot: probeSlotNumber(now)}
 		p.servers[o.Server] = s
 	}
 	return s
--- a/internal/route/pacer/pacer_test.go
+++ b/internal/route/pacer/pacer_test.go
@@ -58,11 +58,12 @@
 		p.Move(now, position)
 		return ""
 	case "answer", "learn":
-		record := p.Observe
+		c, ok := Change{}, false
 		if d.Cmd == "learn" {
-			record = p.Learn
+			c, ok = p.Learn(now, o)
+		} else {
+			c, ok = p.Observe(o)
 		}
-		c, ok := record(o)
 		if !ok {
 			return "no change\n"
 		}
@@ -192,7 +193,7 @@
 		started := h.pacer.Position().Count == 0
 		if started || h.heard < due && now >= f.changes[due-1]+f.delay() {
 			h.pacer.Move(at, Position{Rank: rank, Count: count})
-			h.pacer.Learn(Observation{Server: "s", Incarnation: 1, Rate: f.limit, At: at})
+			h.pacer.Learn(at, Observation{Server: "s", Incarnation: 1, Rate: f.limit, At: at})
 			h.heard = due
 		}
 		rank++
--- a/internal/route/relayer/limit.go
+++ b/internal/route/relayer/limit.go
@@ -29,14 +29,14 @@
 func (r *Relayer) LearnLimits(list []pacer.Observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	servers := r.routing.Load().servers
+	now, servers := time.Now(), r.routing.Load().servers
 	for _, o := range list {
 		s := servers[o.Server]
 		if s == nil || s.Incarnation != o.Incarnation {
 			continue
 		}
-		if c, ok := r.limits.Learn(o); ok {
-			r.reportLimit(s, c, "control", time.Since(o.At))
+		if c, ok := r.limits.Learn(now, o); ok {
+			r.reportLimit(s, c, "control", now.Sub(o.At))
 		}
 	}
 }
