Do not lift a rate limit because of a refusal that names none

An answer without a limit ends the limit, also one by which a server only says that it did not run the request. Such an answer now changes nothing; TestRefusalKeepsLimit failed before.

--- a/internal/route/relayer/limit.go
+++ b/internal/route/relayer/limit.go
@@ -17,6 +17,10 @@
 		r.config.Scope.Counter("limits_unreadable").Inc(1)
 		return
 	}
+	if !m.Limit.Named && m.Refused {
+		// A server that is too busy for a request may be too busy to name its limit.
+		return
+	}
 	s := res.server
 	c, ok := r.limits.Observe(pacer.Observation{Server: s.Name, Incarnation: s.Incarnation, Rate: m.Limit.Rate, At: now})
 	if ok {
--- a/internal/route/relayer/limit_test.go
+++ b/internal/route/relayer/limit_test.go
@@ -71,6 +71,19 @@
 	require.LessOrEqual(t, served, 3)
 }
 
+// TestRefusalKeepsLimit guards against a refusal without a limit, as of a server that is
+// too busy to say, that lifts the limit.
+func TestRefusalKeepsLimit(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Safe)}, map[string][]string{"s": {"a"}})
+	env.servers["a"].setHandler(limitedHandler("20", partHandler("a")))
+	require.Equal(t, Served, env.get(t, "/x").Reason)
+	env.servers["a"].setHandler(refuseHandler)
+	require.Eventually(t, func() bool { return env.get(t, "/x").Reason == Shed }, time.Second, 10*time.Millisecond)
+	env.relayer.mu.Lock()
+	defer env.relayer.mu.Unlock()
+	require.InDelta(t, 20, env.relayer.limits.Limit("a"), 0)
+}
+
 // TestLimitOfAllHosts guards against a server that names a rate limit and gets more
 // requests from all hosts together, while another replica has room.
 func TestLimitOfAllHosts(t *testing.T) {
