--- a/internal/host/delegator/delegator.go
+++ b/internal/host/delegator/delegator.go
@@ -200,8 +200,12 @@
 func (d *Delegator) release(h *helper, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	h.inFlight--
-	switch now := time.Now(); {
+	if _, ok := d.lastUsed[h.address]; ok {
+		d.lastUsed[h.address] = now
+	}
+	switch {
 	case err == nil:
 	case errors.Is(err, errNotReady):
 		h.restsUntil = now.Add(shortRest)
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -207,7 +207,7 @@
 	group.Add(f.relayer.Run)
 	if f.service != nil {
 		group.Add(f.delegator.Run)
-		group.AddServer(func() error { return f.servePeers() }, f.service.Close)
+		group.AddServer(f.servePeers, f.service.Close)
 	}
 	group.AddServer(func() error { return f.serve(f.readinessServer, f.readinessListener) }, func() { _ = f.readinessServer.Close() })
 	group.AddServer(func() error { return f.serve(f.clientServer, f.clientListener) }, func() { _ = f.clientServer.Close() })
@@ -245,9 +245,9 @@
 	f.watcher.SetSeeds(s.Seeds)
 }
 
-// applyUpdate decodes the routing document if its version is new, and passes the
-// routing table, the registry of backend servers and the place of this host among the entry hosts to the
-// relayer. The watcher makes one call at a time.
+// applyUpdate decodes the routing document if its version is new, and passes the routing
+// table, the registry of backend servers and the place of this host among the entry hosts
+// to the relayer, and its peers to the delegator. The watcher makes one call at a time.
 func (f *Forwarder) applyUpdate(w subscriber.RoutingState) {
 	if w.Version > 0 && (f.table == nil || f.table.Version != w.Version) {
 		table, err := f.adapter.DecodeDocument(w.Document)
@@ -265,8 +265,8 @@
 	if f.delegator != nil {
 		f.delegator.SetPeers(w.Peers)
 	}
-	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers,
-		pacer.Position{Rank: w.HostRank, Count: w.EntryHosts})
+	position := pacer.Position{Rank: w.HostRank, Count: w.EntryHosts}
+	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers, position)
 }
 
 // clientTimeouts returns the limits of the routing table in force for the headers of a
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -53,6 +53,9 @@
 		}
 	}
 	q.limitedShards = len(limitedServices)
+	if q.limitedShards > 0 {
+		r.countWithheld(firstSend, q.limitedShards)
+	}
 	missing := q.plan.MinParts - open
 	switch {
 	case sent < q.plan.MinParts:
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -93,7 +93,7 @@
 	}
 	target, withheld := r.pickServer(now, q.routing, s.service, s.triedServers)
 	if withheld > 0 && s.hedgeRetryAt.IsZero() {
-		r.config.Scope.Tagged(map[string]string{"cause": cause.String()}).Counter("sends_withheld").Inc(int64(withheld))
+		r.countWithheld(cause, withheld)
 	}
 	if target == nil {
 		return nil
--- a/internal/route/relayer/limit.go
+++ b/internal/route/relayer/limit.go
@@ -61,6 +61,12 @@
 	r.limits.ForgetShared()
 }
 
+// countWithheld counts sends that did not go to the best server, or to none, because of
+// rate limits.
+func (r *Relayer) countWithheld(cause sendCause, n int) {
+	r.config.Scope.Tagged(map[string]string{"cause": cause.String()}).Counter("sends_withheld").Inc(int64(n))
+}
+
 // reportLimit logs and counts a change of a rate limit, where it comes from and how old
 // it is. The caller holds the lock.
 func (r *Relayer) reportLimit(s *server, c pacer.Change, source string, age time.Duration, more ...any) {
