--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -38,6 +38,10 @@
 	// Limit is the rate limit, in requests a second, that the server names in its
 	// answers, 0 for none.
 	Limit float64
+	// CrashText ends the server when it begins to run a request whose path contains the
+	// text; empty means never. OnCrash is then called with the time of the arrival.
+	CrashText string
+	OnCrash   func(at time.Time)
 }
 
 // Backend is a fake backend server, from its start to its end. A restarted server
@@ -217,6 +221,11 @@
 		b.lateRequests = append(b.lateRequests, time.Now())
 	}
 	b.mu.Unlock()
+	if v.CrashText != "" && strings.Contains(r.URL.Path, v.CrashText) {
+		b.Crash()
+		v.OnCrash(time.Now())
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(v.Latency):
 	case <-r.Context().Done():
