Log backend servers that end while they have a request

A broken connection does not tell a server that ended from one that reset it, and the id of a request does not tell which requests are equal. After a connection has broken, the host opens another: an address that refuses it belongs to a server that has ended.

A server found ended is also taken for down at once.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -212,6 +212,22 @@
 	return nil
 }
 
+// Probe opens a connection within the time limit, whether or not the pool has room, and
+// returns the error of the DialFunc. The connection is kept if there is room.
+func (p *Pool) Probe(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.openConns++
+	p.mu.Unlock()
+	p.release(c, true)
+	return nil
+}
+
 // CloseExpired closes the connections that have been idle for too long.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.closeIdle(func(c *conn) bool { return now.After(c.expiresAt) })
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -32,6 +32,8 @@
 	arrivedAt time.Time
 	// err tells why there is no response. A response with an error status is none.
 	err error
+	// ended is true if the server has ended since the request was sent to it.
+	ended bool
 }
 
 // send sends the request to a server once and passes the outcome to results.
@@ -52,7 +54,11 @@
 		r.metadata = q.relayer.config.Codec.Decode(response.Status, response.Header)
 	}
 	r.status = classify(ctx, q.id, r)
-	if r.status == caller.Unsent {
+	if r.status == caller.Broken && q.relayer.hasEnded(s) {
+		r.ended = true
+		q.relayer.reportEnd(q, r)
+	}
+	if r.status == caller.Unsent || r.ended {
 		q.relayer.markDown(q.relayer.runContext(), s)
 	}
 	q.relayer.recordResult(q, r)
--- /dev/null
+++ b/internal/route/relayer/crash.go
@@ -0,0 +1,42 @@
+package relayer
+
+import (
+	"encoding/binary"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"gentianpond/internal/fleet/registrar"
+)
+
+// endCheckTimeout bounds the wait for a connection that shows whether a server has
+// ended. A server that does not answer in time may only be cut off.
+const endCheckTimeout = 250 * time.Millisecond
+
+// fingerprint returns the hash that identifies equal requests: those with the same
+// method, host, path, query and body. Headers are left out because ids and time limits
+// differ between copies; who sends a request does not change what it does to a server.
+func (r *Request) fingerprint() uint64 {
+	digest := xxhash.New()
+	var length [8]byte
+	for _, field := range []string{r.Method, r.Host, r.Target} {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(field)))
+		_, _ = digest.Write(length[:])
+		_, _ = digest.WriteString(field)
+	}
+	_, _ = digest.Write(r.Body)
+	return digest.Sum64()
+}
+
+// hasEnded reports whether a server whose connection broke has ended: it had not
+// announced that it stops, and its address now refuses connections. A server that reset
+// the connection accepts others; one that is cut off does not answer.
+func (r *Relayer) hasEnded(s *server) bool {
+	if current := r.routing.Load().servers[s.Name]; current == nil || current.Incarnation != s.Incarnation || current.State == registrar.Draining {
+		return false
+	}
+	err := s.pool.Probe(r.runContext(), endCheckTimeout)
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -69,6 +69,8 @@
 	request *connector.Request
 	// id is the client's request id.
 	id string
+	// fingerprint identifies requests that are equal to this one.
+	fingerprint uint64
 	// route is the route that the request matched in the routing table.
 	route *router.Route
 	// routing is the routing state when the request arrived. It is used until the
@@ -183,13 +185,14 @@
 			Exclusive: request.ID == "",
 			Allowance: connector.NewAllowance(cmp.Or(r.config.AnswerBytes, defaultAnswerBytes), r.memory),
 		},
-		id:       request.ID,
-		counted:  request.Counted,
-		route:    route,
-		routing:  routing,
-		deadline: deadline,
-		shards:   make([]shardState, len(services)),
-		results:  make(chan sendResult, len(services)*maxSendsPerShard),
+		id:          request.ID,
+		fingerprint: request.fingerprint(),
+		counted:     request.Counted,
+		route:       route,
+		routing:     routing,
+		deadline:    deadline,
+		shards:      make([]shardState, len(services)),
+		results:     make(chan sendResult, len(services)*maxSendsPerShard),
 		plan: gatherer.Plan{
 			Start:        request.Received,
 			SoftDeadline: request.Received.Add(route.Objective - cmp.Or(request.TransitTime, r.config.TransitTime)),
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -100,5 +101,15 @@
 		status = res.response.Status
 	}
 	r.config.Log.Info("send to backend server failed", "request", q.id, "route", q.route.Name, "service", res.server.Service, "server", res.server.Name,
-		"outcome", res.status, "status", status, "took", res.latency, "err", res.err)
+		"fingerprint", fingerprintText(q.fingerprint), "outcome", res.status, "status", status, "took", res.latency, "err", res.err)
 }
+
+// reportEnd logs and counts a server that ended after a request was sent to it.
+func (r *Relayer) reportEnd(q *query, res sendResult) {
+	r.config.Scope.Counter("server_ends").Inc(1)
+	r.config.Log.Warn("backend server ended while it had a request", "request", q.id, "fingerprint", fingerprintText(q.fingerprint),
+		"service", res.server.Service, "server", res.server.Name, "incarnation", res.server.Incarnation, "took", res.latency)
+}
+
+// fingerprintText returns a fingerprint in the form in which operators enter it.
+func fingerprintText(fingerprint uint64) string { return fmt.Sprintf("%016x", fingerprint) }
