Quarantine requests on routes that end each server which runs them

Cause: no code on routes looked at what a request did before. The quarantine of the project's own interface was not connected (class of fault: knowledge of one host about a request that no other host has, and a retry that ignores why the first send failed).

Change: hosts observe that a server ended while it had a request, and report it; the control hosts keep a second quarantine list of the same type, for routes, and send its changes with the watch replies. quarantiner.Guard decides on each host: a suspected request runs on one server at a time, in a fan-out on one shard first; after a second end it waits until the service can spare a server; after a third, in runs one after the other without a completion between them, it is refused with 503 and the time until it is tried again. A completed run at any host clears it.

Simulated fleets of 1 to 191 hosts (TestFleetStopsCrashingRequest, TestUnguardedFleet shows it fails without the guard).

--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -68,6 +68,9 @@
 	ledger *recorder.Ledger
 	// quarantine is the list of requests suspected of crashing backend servers.
 	quarantine *quarantiner.Table
+	// routes is the same for requests on routes. It has a list of its own, because the
+	// revision of the other one must be equal on hosts of all versions.
+	routes *quarantiner.Table
 	// view is the numbered list of the entry hosts in service.
 	view view
 	// routing is the routing document in force, as the operator sent it.
@@ -83,6 +86,7 @@
 		config:     newConfig(validate),
 		ledger:     recorder.New(recorder.Limits{}),
 		quarantine: quarantiner.New(quarantiner.Limits{}),
+		routes:     quarantiner.NewForRoutes(quarantiner.Limits{}),
 		registry:   registrar.New(),
 	}
 	return k
@@ -130,6 +134,7 @@
 	}
 	k.ledger.Advance(k.latestTime)
 	k.quarantine.Advance(k.latestTime)
+	k.routes.Advance(k.latestTime)
 }
 
 // applyAction applies the action of a command at the state machine's time.
--- a/internal/control/keeper/snapshot.go
+++ b/internal/control/keeper/snapshot.go
@@ -65,16 +65,23 @@
 	}
 }
 
-// copyQuarantineTo copies the quarantine list to the state that a snapshot holds.
+// copyQuarantineTo copies the quarantine lists to the state that a snapshot holds.
 func (k *Keeper) copyQuarantineTo(state *messenger.KeeperState) {
-	contents := k.quarantine.Snapshot()
-	state.QuarantineTime = timestamppb.New(contents.Now)
-	state.Quarantine = contents.Revision
-	state.Suspects = k.Suspicions()
-	state.Alerts = k.Alerts()
+	m := quarantineMessage(k.quarantine)
+	state.QuarantineTime, state.Quarantine, state.Suspects, state.Alerts, state.Reports = m.Time, m.Revision, m.Suspects, m.Alerts, m.Reports
+	state.Routes = quarantineMessage(k.routes)
+}
+
+// quarantineMessage returns the content of a table for a snapshot.
+func quarantineMessage(table *quarantiner.Table) *messenger.Quarantine {
+	contents := table.Snapshot()
+	m := &messenger.Quarantine{
+		Time: timestamppb.New(contents.Now), Revision: contents.Revision, Suspects: suspicionMessages(table), Alerts: alertMessages(table),
+	}
 	for _, r := range contents.Reports {
-		state.Reports = append(state.Reports, &messenger.CrashReport{Id: r.ID, Time: timestamppb.New(r.Time)})
+		m.Reports = append(m.Reports, &messenger.CrashReport{Id: r.ID, Time: timestamppb.New(r.Time)})
 	}
+	return m
 }
 
 // Restore replaces the state with that of a snapshot. After an error the state is
@@ -138,26 +145,28 @@
 	k.ledger.Restore(ledger)
 }
 
-// restoreQuarantineFrom replaces the quarantine list by the one in the state of a
-// snapshot.
+// restoreQuarantineFrom replaces the quarantine lists by those in the state of a
+// snapshot. Earlier versions of the program wrote none for routes.
 func (k *Keeper) restoreQuarantineFrom(state *messenger.KeeperState) {
-	contents := quarantiner.Snapshot{Now: state.QuarantineTime.AsTime(), Revision: state.Quarantine}
-	for _, s := range state.Suspects {
-		contents.Suspicions = append(contents.Suspicions, quarantiner.Suspicion{
-			Fingerprint: s.Fingerprint,
-			Archive:     s.Archive,
-			State:       quarantiner.State(s.State),
-			Crashes:     int(s.Crashes),
-			Expiry:      s.Expiry.AsTime(),
-			Server:      s.Server,
-			Incarnation: s.Incarnation,
-		})
+	k.quarantine.Restore(quarantineContents(&messenger.Quarantine{
+		Time: state.QuarantineTime, Revision: state.Quarantine, Suspects: state.Suspects, Alerts: state.Alerts, Reports: state.Reports,
+	}))
+	if state.Routes != nil {
+		k.routes.Restore(quarantineContents(state.Routes))
+	}
+}
+
+// quarantineContents returns the content of a table in a snapshot.
+func quarantineContents(m *messenger.Quarantine) quarantiner.Snapshot {
+	contents := quarantiner.Snapshot{Now: m.GetTime().AsTime(), Revision: m.GetRevision()}
+	for _, s := range m.GetSuspects() {
+		contents.Suspicions = append(contents.Suspicions, quarantiner.SuspicionFromMessage(s))
 	}
-	for _, a := range state.Alerts {
-		contents.Alerts = append(contents.Alerts, quarantiner.Alert{Archive: a.Archive, LastCrash: a.Crash.AsTime()})
+	for _, a := range m.GetAlerts() {
+		contents.Alerts = append(contents.Alerts, quarantiner.Alert{Archive: a.GetArchive(), LastCrash: a.GetCrash().AsTime()})
 	}
-	for _, r := range state.Reports {
-		contents.Reports = append(contents.Reports, quarantiner.Report{ID: r.Id, Time: r.Time.AsTime()})
+	for _, r := range m.GetReports() {
+		contents.Reports = append(contents.Reports, quarantiner.Report{ID: r.GetId(), Time: r.GetTime().AsTime()})
 	}
-	k.quarantine.Restore(contents)
+	return contents
 }
--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -106,6 +106,8 @@
 	watchingHosts *watchTracker
 	// limits holds the rate limits that entry hosts reported to this leader.
 	limits *limitTracker
+	// suspects tracks the suspicions against requests on routes.
+	suspects *suspectTracker
 	// heldWatches are the watch requests without a reply yet, the oldest first.
 	heldWatches []heldWatch
 	// nextWatchCheck is when the held watch requests are checked next.
@@ -151,6 +153,7 @@
 		checkIns:      newCheckInTracker(0),
 		watchingHosts: newWatchTracker(0),
 		limits:        newLimitTracker(),
+		suspects:      newSuspectTracker(),
 		hellos:        hellos{},
 		lastSnapshot:  snapshotProgress{index: snapshot.Index, snapshotBytes: len(snapshot.Data)},
 	}
@@ -490,6 +493,7 @@
 		l.checkIns = newCheckInTracker(l.now())
 		l.watchingHosts = newWatchTracker(l.now())
 		l.limits = newLimitTracker()
+		l.suspects = newSuspectTracker()
 		l.repairReason = ""
 	}
 	l.logRoleChange(last, s)
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -320,12 +320,12 @@
 // Release lists suspicions, or changes one for an operator.
 func (s *service) Release(ctx context.Context, r *messenger.ReleaseRequest) (*messenger.SuspectReply, error) {
 	switch r.GetAction() {
-	case "clear", "pin":
+	case "clear", "pin", "pinroute":
 		return s.proposeQuarantineChange(ctx, &messenger.Command{Action: &messenger.Command_Release{Release: r}})
 	case "list":
 		return s.listSuspects(ctx)
 	}
-	return nil, status.Errorf(codes.InvalidArgument, "action %q is not list, clear or pin", r.GetAction())
+	return nil, status.Errorf(codes.InvalidArgument, "action %q is not list, clear, pin or pinroute", r.GetAction())
 }
 
 // proposeQuarantineChange commits a command on the quarantine and returns the suspects
@@ -360,7 +360,8 @@
 
 // suspectReply returns the revision of the quarantine list and all suspicions.
 func (l *loop) suspectReply() *messenger.SuspectReply {
-	return &messenger.SuspectReply{Granted: true, Quarantine: l.keeper.QuarantineRevision(), Suspects: l.keeper.Suspicions()}
+	return &messenger.SuspectReply{Granted: true, Quarantine: l.keeper.QuarantineRevision(),
+		Suspects: append(l.keeper.Suspicions(), l.keeper.RouteSuspicions()...)}
 }
 
 // Publish stores a routing document.
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -61,6 +61,7 @@
 	}
 	l.nextWatchCheck = now + max(minWatchInterval, time.Duration(len(l.watchingHosts.hosts))*watchIntervalPerHost)
 	leads, leader := l.isLeader(), l.leaderAddress()
+	l.suspects.update(l.keeper.RouteRevision(), l.keeper.RouteSuspicions)
 	kept := l.heldWatches[:0]
 	for _, w := range l.heldWatches {
 		switch {
@@ -91,11 +92,13 @@
 	})
 }
 
-// hasNews reports whether the routing document or the registry is newer than what the
-// entry host has.
+// hasNews reports whether the routing document, the registry or the quarantine of requests
+// on routes is newer than what the entry host has. The quarantine is news only for hosts
+// that follow it.
 func (l *loop) hasNews(r *messenger.WatchRequest) bool {
 	version, _ := l.keeper.RoutingDocument()
-	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().LastChange()
+	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().LastChange() ||
+		r.GetGuards() && r.GetSuspects() < l.suspects.lastChange
 }
 
 // watchReply returns the current versions with the routing document and the
@@ -115,6 +118,10 @@
 	}
 	reply.Limits = l.limits.lastChange
 	reply.Changed = l.limits.changesSince(now, l.keeper.Registry(), r.GetLimits())
+	if r.GetGuards() {
+		reply.Suspects = l.suspects.lastChange
+		reply.Suspect, reply.Whole = l.suspects.changesSince(time.Now(), r.GetSuspects())
+	}
 	if r.GetVersion() < version {
 		reply.Packed = packed
 	}
--- a/internal/control/subscriber/limits.go
+++ b/internal/control/subscriber/limits.go
@@ -40,10 +40,10 @@
 	w.config.Limits.LearnLimits(list)
 }
 
-// resetLimits prepares for a new leader, which numbers the changes of rate limits anew
-// and knows none of them.
-func (w *Watcher) resetLimits() {
-	w.limits = 0
+// resetChanges prepares for a new leader, which numbers the changes of rate limits and of
+// suspicions anew, and knows no limits.
+func (w *Watcher) resetChanges() {
+	w.limits, w.suspects = 0, 0
 	if w.config.Limits != nil {
 		w.config.Limits.ForgetSharedLimits()
 	}
--- a/internal/control/subscriber/reports.go
+++ b/internal/control/subscriber/reports.go
@@ -38,14 +38,19 @@
 // report without an id gets one. Reports are sent repeatedly under the same id until
 // the leader has confirmed them or Run ends.
 func (s *Subscriber) ReportObservation(o quarantiner.Observation) bool {
-	q := s.reports
+	return s.reports.add(o, s.config.Member.Name, s.config.Member.Incarnation)
+}
+
+// add queues a report of a host and returns false if the queue is full. A report without
+// an id gets one.
+func (q *reportQueue) add(o quarantiner.Observation, host string, incarnation uint64) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lastNumber++
 	if o.ID == "" {
-		o.ID = fmt.Sprintf("%s/%d/%d", s.config.Member.Name, s.config.Member.Incarnation, q.lastNumber)
+		o.ID = fmt.Sprintf("%s/%d/%d", host, incarnation, q.lastNumber)
 	}
-	if !q.ring.Push(observationMessage(o)) {
+	if !q.ring.Push(o.Message()) {
 		q.dropped++
 		return false
 	}
@@ -64,19 +69,6 @@
 	return s.reports.dropped
 }
 
-// observationMessage returns a crash report as a message of the inner protocol.
-func observationMessage(o quarantiner.Observation) *messenger.Observation {
-	return &messenger.Observation{
-		Id:          o.ID,
-		Fingerprint: o.Fingerprint,
-		Archive:     o.Archive,
-		Server:      o.Server,
-		Incarnation: o.Incarnation,
-		Crashed:     o.Crashed,
-		Alone:       o.Alone,
-	}
-}
-
 // nextBatch removes and returns up to maxBatchReports reports.
 func (q *reportQueue) nextBatch() []*messenger.Observation {
 	q.mu.Lock()
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/protocol/messenger"
 	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/value/packer"
@@ -105,6 +106,8 @@
 	OnChange func(RoutingState)
 	// Limits exchanges rate limits with the other entry hosts. It may be nil.
 	Limits LimitExchange
+	// Suspects learns of requests that crash backend servers. It may be nil.
+	Suspects SuspectLearner
 	// Connect defaults to gRPC without extra options.
 	Connect Connector
 	// Log is required.
@@ -121,6 +124,14 @@
 	ForgetSharedLimits()
 }
 
+// SuspectLearner learns of requests on routes that are suspected of crashing backend
+// servers.
+type SuspectLearner interface {
+	// LearnSuspicions records suspicions, with the times of this host's clock. The state
+	// clear means that there is none any more. If complete is set, they are all there are.
+	LearnSuspicions(list []quarantiner.Suspicion, complete bool)
+}
+
 // Watcher keeps an entry host's routing document and registry up to date without a
 // lease: a host without contact to the leader continues with its last state. Use
 // NewWatcher.
@@ -128,11 +139,17 @@
 	config WatcherConfig
 	// state is the newest state, which State returns.
 	state atomic.Pointer[RoutingState]
-	// leader is the connection to the leader, zero while none is known.
-	leader controlConn
+	// leader is the connection to the leader, zero while none is known. Only Run uses it;
+	// leaderClient is its client, nil while none is known.
+	leader       controlConn
+	leaderClient atomic.Pointer[messenger.ControlClient]
+	// reports holds the observations of crashes for the leader.
+	reports *reportQueue
 	// limits is the number of the newest change of a rate limit that the leader sent.
 	// Only Run uses it.
 	limits uint64
+	// suspects is the same for the suspicions against requests.
+	suspects uint64
 
 	// mu protects seeds and controlHosts.
 	mu sync.Mutex
@@ -147,7 +164,7 @@
 	if c.Connect == nil {
 		c.Connect = Connect()
 	}
-	w := &Watcher{config: c, seeds: c.Seeds}
+	w := &Watcher{config: c, seeds: c.Seeds, reports: newReportQueue()}
 	w.state.Store(&RoutingState{})
 	return w
 }
@@ -164,6 +181,9 @@
 
 // Run finds the leader and watches it until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	var reports sync.WaitGroup
+	defer reports.Wait()
+	reports.Go(func() { w.reportLoop(ctx) })
 	defer w.dropLeader()
 	for ctx.Err() == nil {
 		hold := holdDuration(w.State().EntryHosts)
@@ -186,6 +206,7 @@
 		_ = w.leader.closer.Close()
 	}
 	w.leader = controlConn{}
+	w.leaderClient.Store(nil)
 }
 
 // watchLeader sends one watch request to the leader and applies its reply. It drops
@@ -194,6 +215,7 @@
 	s := w.State()
 	request := w.newWatchRequest(s.Version, s.registryIndex, hold)
 	w.addLimits(request)
+	request.Guards, request.Suspects = w.config.Suspects != nil, w.suspects
 	if w.config.Peer.Address.IsValid() {
 		request.Peer, request.Zone, request.Peers = w.config.Peer.Address.String(), w.config.Peer.Zone, s.peersFingerprint
 	}
@@ -269,7 +291,8 @@
 		case answer := <-answers:
 			if answer.reply.GetGranted() {
 				w.leader = answer.conn
-				w.resetLimits()
+				w.leaderClient.Store(&answer.conn.client)
+				w.resetChanges()
 				w.config.Log.Info("found the control leader", "table", answer.reply.GetVersion(), "registry", answer.reply.GetRegistry())
 				return true
 			}
@@ -363,6 +386,7 @@
 		w.config.OnChange(next)
 	}
 	w.learnLimits(reply, now)
+	w.learnSuspects(reply, now)
 }
 
 // decodePeers returns the entry hosts of a list. Invalid addresses are left out.
--- a/internal/guard/quarantiner/quarantiner.go
+++ b/internal/guard/quarantiner/quarantiner.go
@@ -91,8 +91,13 @@
 	// the request completed.
 	Crashed bool
 	// Alone is true when the run was an isolated one and no other request was
-	// in flight on the server.
+	// in flight on the server. On a route, where hosts do not know what others send to
+	// a server, it is true when the reporter knew of the suspicion and ran no other copy
+	// of the request. Round is then the Suspicion.Rounds that it knew.
 	Alone bool
+	Round int
+	// Proven is true if the request has completed on a server of the service lately.
+	Proven bool
 }
 
 // Suspicion is the record of the crashes of one fingerprint.
@@ -106,14 +111,36 @@
 	// Crashes is the number of crashed server incarnations. Successive reports
 	// on the same incarnation count once.
 	Crashes int
+	// Rounds is the number of isolated runs, one after the other, that crashed a server
+	// since the last completion. It begins below 0 for a proven request. Quarantines is
+	// how often that led to a quarantine.
+	Rounds      int
+	Quarantines int
+	// Proven is true if the request had completed lately when a server crashed. That
+	// happens when servers end for another reason, and when one that has become unable to
+	// bear the request replaces another.
+	Proven bool
+	// LastCrash is the time of the last crash that was counted.
+	LastCrash time.Time
 	// Expiry is the time at which the fingerprint is clear again. A pinned
 	// suspicion doesn't expire.
 	Expiry time.Time
-	// Server and Incarnation name the server process that crashed last.
+	// Server and Incarnation name the server process that crashed last, Before those
+	// that crashed before it, the latest first, at most maxServersBefore of them.
 	Server      string
 	Incarnation uint64
+	Before      []Process
 }
 
+// Process is one start of a backend server.
+type Process struct {
+	Server      string
+	Incarnation uint64
+}
+
+// maxServersBefore bounds Suspicion.Before.
+const maxServersBefore = 3
+
 // Alert says that a request to an archive crashed a server within the TTL. While
 // it lasts, unknown requests to the archive may be sent to one shard first.
 type Alert struct {
@@ -133,6 +160,12 @@
 // the ids of the reports that were counted. The zero value is an empty table
 // with the default limits. It is not safe for concurrent use.
 type Table struct {
+	// rounds is the number of isolated runs in a row that have to crash a server before
+	// a suspect is quarantined; 0 means 1.
+	rounds int
+	// reexamined is true if a quarantine ends with a completion, and becomes a suspicion
+	// again when it expires.
+	reexamined bool
 	// limits holds the limits; DefaultLimits apply where one is zero.
 	limits Limits
 	// now is the latest time that was passed in.
@@ -158,6 +191,27 @@
 // New returns an empty table. DefaultLimits apply where a limit is zero.
 func New(limits Limits) *Table { return &Table{limits: limits} }
 
+// routeRounds is the number of isolated runs that have to crash a server on a route. One
+// may coincide with the end of a server for another reason.
+const routeRounds = 2
+
+// provenRounds is the number of isolated runs that crash a server without consequence if
+// the request had completed lately. Where servers end again and again for another reason,
+// a popular request is in flight at many of the ends.
+const provenRounds = 1
+
+// maxQuarantine bounds the length of a quarantine on a route, which is TTL at first and
+// doubles each time that the request crashes a server again.
+const maxQuarantine = 4 * TTL
+
+// NewForRoutes returns an empty table for requests on routes. Hosts do not control what
+// else runs on a server there, so that a quarantine takes more evidence: a request that
+// crashes each server which runs it never completes, and one that completes is clear.
+// A quarantine that expires leaves a suspect that one more crash quarantines again.
+func NewForRoutes(limits Limits) *Table {
+	return &Table{limits: limits, rounds: routeRounds, reexamined: true}
+}
+
 // Advance sets the time of the table, which never goes back, and drops expired
 // suspicions, alerts and reports.
 func (t *Table) Advance(now time.Time) {
@@ -173,6 +227,10 @@
 	t.nextSweep = now.Add(TTL)
 	for fingerprint, s := range t.suspicions {
 		switch {
+		case s.expired(now) && t.reexamined && s.State == StateQuarantined:
+			s.State, s.Rounds, s.Expiry = StateSuspect, t.rounds-1, s.Expiry.Add(maxQuarantine)
+			t.nextSweep = earliest(t.nextSweep, s.Expiry)
+			t.revision++
 		case s.expired(now):
 			delete(t.suspicions, fingerprint)
 			t.revision++
@@ -250,36 +308,66 @@
 }
 
 // recordCrash makes a clear fingerprint a suspect and quarantines a suspect that
-// crashed a server in an isolated run. Another crash while the server ran other
-// requests too leaves a suspect in its state, because any of them may be the
-// cause.
+// crashed servers in isolated runs. Another crash while the server ran other requests
+// too leaves a suspect in its state, because any of them may be the cause. So does a
+// second crash of the same server, and a run that began before the last one was known.
 func (t *Table) recordCrash(o Observation) {
 	t.recordAlert(o.Archive)
 	s := t.suspicions[o.Fingerprint]
-	switch {
-	case s == nil:
+	if s == nil {
 		if s = t.addSuspicion(o.Fingerprint, o.Archive, StateSuspect); s == nil {
 			return
 		}
-	case s.State == StateSuspect && o.Alone:
+		s.Crashes = 1
+	} else if !s.counts(o) {
+		if s.State == StateSuspect && o.Alone && o.Round >= s.Rounds {
+			s.Rounds++
+		}
+		s.Crashes++
+		s.Before = append([]Process{{s.Server, s.Incarnation}}, s.Before[:min(len(s.Before), maxServersBefore-1)]...)
+	}
+	if o.Proven && !s.Proven && s.Quarantines == 0 {
+		s.Proven = true
+		s.Rounds -= provenRounds
+	}
+	s.Archive, s.Server, s.Incarnation = o.Archive, o.Server, o.Incarnation
+	s.LastCrash = t.now
+	length := TTL
+	if s.State == StateSuspect && s.Rounds >= max(t.rounds, 1) {
 		s.State = StateQuarantined
+		s.Quarantines++
 	}
-	if s.Crashes == 0 || s.Server != o.Server || s.Incarnation != o.Incarnation {
-		s.Crashes++
+	if t.reexamined && s.State == StateQuarantined {
+		length = min(TTL<<min(s.Quarantines-1, 8), maxQuarantine)
+	}
+	if s.State != StatePinned {
+		s.Expiry = t.now.Add(length)
 	}
-	s.Server, s.Incarnation = o.Server, o.Incarnation
-	s.Expiry = t.now.Add(TTL)
 	t.revision++
 }
 
+// counts reports whether the crash of the server in o is counted already.
+func (s *Suspicion) counts(o Observation) bool {
+	p := Process{o.Server, o.Incarnation}
+	return s.Crashes > 0 && (p == Process{s.Server, s.Incarnation} || slices.Contains(s.Before, p))
+}
+
 // recordCompletion clears a suspect that completed in an isolated run. A
 // quarantine ends only by expiry or by an operator: a completion that arrives
-// after the crash says nothing about the next run.
+// after the crash says nothing about the next run. On a route also a quarantine ends,
+// with a completion on a server of the service that crashed last.
 func (t *Table) recordCompletion(o Observation) {
-	if s := t.suspicions[o.Fingerprint]; s != nil && s.State == StateSuspect {
-		delete(t.suspicions, o.Fingerprint)
-		t.revision++
+	s := t.suspicions[o.Fingerprint]
+	switch {
+	case s == nil || s.State == StatePinned:
+		return
+	case t.reexamined && s.Archive != o.Archive:
+		return
+	case !t.reexamined && s.State != StateSuspect:
+		return
 	}
+	delete(t.suspicions, o.Fingerprint)
+	t.revision++
 }
 
 // recordAlert puts the archive on alert from now on, in place of the oldest
--- a/internal/guard/quarantiner/snapshot.go
+++ b/internal/guard/quarantiner/snapshot.go
@@ -32,9 +32,11 @@
 	}
 }
 
-// Restore replaces the content of the table; the limits stay.
+// Restore replaces the content of the table; its policy and limits stay.
 func (t *Table) Restore(snapshot Snapshot) {
 	*t = Table{
+		rounds:     t.rounds,
+		reexamined: t.reexamined,
 		limits:     t.limits,
 		now:        snapshot.Now,
 		revision:   snapshot.Revision,
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"gentianpond/internal/control/subscriber"
+	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/host/delegator"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/route/pacer"
@@ -136,6 +137,7 @@
 		HostBytes:   s.MemoryBytes / answerMemoryDivisor,
 		Delegator:   f.requestDelegator(),
 		ControlAge:  func() time.Duration { return time.Since(f.watcher.State().LastReply) },
+		Observe:     func(o quarantiner.Observation) bool { return f.watcher.ReportObservation(o) },
 		Log:         logger,
 		Scope:       scope.SubScope("relay"),
 	})
@@ -143,7 +145,7 @@
 		f.service = delegator.NewService(f.delegator, f.relayer)
 	}
 	f.watcher = subscriber.NewWatcher(subscriber.WatcherConfig{
-		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Limits: f.relayer,
+		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Limits: f.relayer, Suspects: f.relayer,
 		Peer: subscriber.Peer{Address: s.Peer, Zone: s.Zone}, Log: logger,
 	})
 	f.clientServer = &http.Server{
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -68,7 +68,15 @@
 	targets = make([]*server, len(q.shards))
 	for i := range q.shards {
 		s := &q.shards[i]
-		if !s.noMoreSends {
+		if s.noMoreSends {
+			continue
+		}
+		if q.isHeld(i) {
+			q.hold(i, firstSend)
+			if !q.counted {
+				r.serviceBudget(now, s.service).AddEvent()
+			}
+		} else {
 			targets[i] = q.reserveServer(now, s, firstSend)
 			s.noMoreSends = targets[i] == nil
 		}
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -39,6 +39,9 @@
 	// RateLimited means that too few servers have room within the rate limits that they
 	// name.
 	RateLimited // rate limited
+	// Quarantined means that the request crashes the servers that run it, or is suspected
+	// of that while its service can spare no server.
+	Quarantined // quarantined
 	// Expired means that the time limit passed before the request was sent.
 	Expired // expired
 	// Broken means that servers or their connections failed after the request had been
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -34,10 +34,16 @@
 	err error
 	// ended is true if the server has ended since the request was sent to it.
 	ended bool
+	// alone is true if the send was the trial of a suspected request, and round is then
+	// the number of rounds that were known.
+	alone bool
+	round int
 }
 
-// send sends the request to a server once and passes the outcome to results.
-func (q *query) send(ctx context.Context, shard int, s *server) {
+// send sends the request to a server once and passes the outcome to results. r holds the
+// fields that do not depend on the outcome.
+func (q *query) send(ctx context.Context, r sendResult) {
+	s := r.server
 	start := time.Now()
 	header := make(http.Header, len(q.request.Header)+4)
 	maps.Copy(header, q.request.Header)
@@ -48,13 +54,13 @@
 	}
 	request.MatchesResponse = func(h http.Header) bool { return q.relayer.config.Codec.RequestID(h) == q.id }
 	response, err := s.pool.Do(ctx, &request)
-	r := sendResult{shard: shard, server: s, response: response, err: err, arrivedAt: time.Now()}
+	r.response, r.err, r.arrivedAt = response, err, time.Now()
 	r.latency = r.arrivedAt.Sub(start)
 	if err == nil {
 		r.metadata = q.relayer.config.Codec.Decode(response.Status, response.Header)
 	}
 	r.status = classify(ctx, q.id, r)
-	if r.status == caller.Broken && q.relayer.hasEnded(s) {
+	if r.status == caller.Broken && q.relayer.hasEnded(s, err) {
 		r.ended = true
 		q.relayer.reportEnd(q, r)
 	}
@@ -109,6 +115,7 @@
 	}
 	r.observeLimit(now, q.id, res)
 	r.observeLinks(now, res)
+	r.observeRun(now, q, res)
 	if signal, ok := q.loadSignal(now, res); ok {
 		congested := signal.Congested() && r.othersCongested(now, q.routing, res.server)
 		r.throttle(res.server.Service).Observe(now, now.Add(-res.latency), congested)
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -9,9 +9,10 @@
 )
 
 // hedgeable reports whether a shard may be hedged once it is late. Unsafe requests
-// never are, because a hedge could run them twice.
+// never are, because a hedge could run them twice, nor are suspected ones, because it
+// could end another server.
 func (q *query) hedgeable(s *shardState) bool {
-	return q.route.Kind == router.Safe && s.part == nil && s.inFlight == 1 && !s.hedged && s.attempts < q.route.MaxAttempts
+	return !q.trial.running && q.route.Kind == router.Safe && s.part == nil && s.inFlight == 1 && !s.hedged && s.attempts < q.route.MaxAttempts
 }
 
 // hedgeDelay returns how long after the latest send to a shard a hedge is sent.
@@ -71,7 +72,7 @@
 	case retrySend:
 		q.retryCount++
 	}
-	go q.send(ctx, i, target)
+	go q.send(ctx, sendResult{shard: i, server: target, alone: q.trial.running, round: q.trial.round})
 }
 
 // chooseServer selects a server for a send. See reserveServer.
--- a/internal/route/relayer/crash.go
+++ b/internal/route/relayer/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,7 +15,7 @@
 
 // endCheckTimeout bounds the wait for a connection that shows whether a server has
 // ended. A server that does not answer in time may only be cut off.
-const endCheckTimeout = 250 * time.Millisecond
+const endCheckTimeout = 100 * time.Millisecond
 
 // fingerprint returns the hash that identifies equal requests: those with the same
 // method, host, path, query and body. Headers are left out because ids and time limits
@@ -30,13 +32,17 @@
 	return digest.Sum64()
 }
 
-// hasEnded reports whether a server whose connection broke has ended: it had not
-// announced that it stops, and its address now refuses connections. A server that reset
-// the connection accepts others; one that is cut off does not answer.
-func (r *Relayer) hasEnded(s *server) bool {
+// hasEnded reports whether a server whose connection broke with err has ended: it closed
+// the connection without having announced that it stops, and its address now refuses
+// others. A server that only reset the connection accepts others; one that is cut off
+// does not answer.
+func (r *Relayer) hasEnded(s *server, err error) bool {
+	closed := func(target error) bool { return errors.Is(err, target) }
+	if !slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, closed) {
+		return false
+	}
 	if current := r.routing.Load().servers[s.Name]; current == nil || current.Incarnation != s.Incarnation || current.State == registrar.Draining {
 		return false
 	}
-	err := s.pool.Probe(r.runContext(), endCheckTimeout)
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(s.pool.Probe(r.runContext(), endCheckTimeout), syscall.ECONNREFUSED)
 }
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -109,6 +109,8 @@
 	counted  bool
 	// delegated is set if another host answered the request.
 	delegated bool
+	// trial is the isolated run of a suspected request.
+	trial trial
 }
 
 // shardState is the state of one shard of a fan-out. A request to a single server has
@@ -135,6 +137,10 @@
 	failedResponse *connector.Response
 	// noMoreSends is set when no further send is allowed or possible.
 	noMoreSends bool
+	// held is set while the shard waits for the outcome of a trial, to make a send for
+	// heldCause.
+	held      bool
+	heldCause sendCause
 }
 
 // mayAnswer reports whether a part may still come from the shard.
@@ -165,7 +171,11 @@
 	q := r.newQuery(routing, route, &request, deadline)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	answer := q.serve(ctx, &request)
+	defer q.endTrial()
+	answer := q.guardRequest(ctx)
+	if answer.Reason == Served {
+		answer = q.serve(ctx, &request)
+	}
 	answer.allowance = q.request.Allowance
 	r.reportRequest(q, &request, answer)
 	return answer
@@ -246,6 +256,7 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
+		q.advanceTrial(sendCtx)
 		delay := q.hedgeDelay(now)
 		q.hedgeLateShards(sendCtx, now, delay)
 		verdict, until := q.plan.Decide(now, q.enoughSince, q.partCount, q.openShards())
@@ -284,8 +295,11 @@
 }
 
 // nextWake returns when run has to act next if no result arrives: the time of the
-// next hedge or until, whichever is earlier.
+// next hedge, the next decision on a trial, or until, whichever is earliest.
 func (q *query) nextWake(until time.Time, delay time.Duration) time.Time {
+	if poll := time.Now().Add(suspectPollInterval); q.trial.waiting && poll.Before(until) {
+		until = poll
+	}
 	for i := range q.shards {
 		s := &q.shards[i]
 		if !q.hedgeable(s) {
@@ -337,6 +351,10 @@
 			s.noMoreSends = true
 			return
 		}
+		if res.ended {
+			q.handleEnd(ctx, res)
+			return
+		}
 		q.resend(ctx, res, retrySend)
 	}
 }
@@ -372,9 +390,23 @@
 	if s.inFlight > 0 {
 		return
 	}
-	if s.attempts >= q.route.MaxAttempts || len(s.triedServers) >= maxSendsPerShard || ctx.Err() != nil {
+	if q.isHeld(res.shard) {
+		q.hold(res.shard, cause)
+		return
+	}
+	q.sendAgain(ctx, res.shard, cause)
+}
+
+// sendAgain sends the request to a shard again if that is allowed.
+func (q *query) sendAgain(ctx context.Context, shard int, cause sendCause) {
+	if s := &q.shards[shard]; !q.maySendAgain(ctx, s) {
 		s.noMoreSends = true
 		return
 	}
-	q.sendToShard(ctx, res.shard, cause)
+	q.sendToShard(ctx, shard, cause)
+}
+
+// maySendAgain reports whether a shard has attempts left.
+func (q *query) maySendAgain(ctx context.Context, s *shardState) bool {
+	return s.attempts < q.route.MaxAttempts && len(s.triedServers) < maxSendsPerShard && ctx.Err() == nil
 }
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -19,15 +19,16 @@
 	_ = x[Shed-8]
 	_ = x[Overload-9]
 	_ = x[RateLimited-10]
-	_ = x[Expired-11]
-	_ = x[Broken-12]
-	_ = x[TimedOut-13]
-	_ = x[ClientLeft-14]
+	_ = x[Quarantined-11]
+	_ = x[Expired-12]
+	_ = x[Broken-13]
+	_ = x[TimedOut-14]
+	_ = x[ClientLeft-15]
 }
 
-const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 115, 121, 130, 141}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 126, 132, 141, 152}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -26,6 +26,7 @@
 
 	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
+	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/detector"
 	"gentianpond/internal/route/pacer"
@@ -146,8 +147,11 @@
 	// ControlAge returns the time since the last message from the control hosts. It is
 	// nil if that is unknown.
 	ControlAge func() time.Duration
-	Log        *log.Logger
-	Scope      tally.Scope
+	// Observe passes on what a run of a request revealed, and returns false if it cannot.
+	// It must not block. It may be nil.
+	Observe func(o quarantiner.Observation) bool
+	Log     *log.Logger
+	Scope   tally.Scope
 }
 
 // Relayer forwards requests to backend servers. Use New. It is safe for concurrent
@@ -173,6 +177,8 @@
 	startedAt time.Time
 	// limits holds the rate limits that servers name.
 	limits pacer.Pacer
+	// guard decides which requests may run.
+	guard quarantiner.Guard
 	// links tells whether this host has lost its links to the servers.
 	links detector.Detector
 	// throttles holds the throttles by service name.
