Answer requests that outlast a planned stop, and refuse those that come too late for it

Cause: a stop waited for requests in flight until 0.92 of the grace period and then closed their connections. A request that came during the stop was taken whatever it had left of it.

Change: 100 ms before that end every request in flight gets its final answer (504 if it may have run, 503 if no server received it, the parts in hand if they are enough). During a stop, a request that would be late by then is refused with 503 at once, and others get the end of the stop as their deadline. The project's own interface (entry hosts) was only read: it refuses late requests and waits for those in flight for its stop timeout; requests longer than that were not tried.

--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -43,6 +43,8 @@
 	// shutdownGraceShare is the share of the grace period after which requests still
 	// in flight are aborted.
 	shutdownGraceShare = 0.92
+	// answerMargin is how long before that requests still in flight get their final answer.
+	answerMargin = 100 * time.Millisecond
 )
 
 // Adapter translates between the users' platform and internal types.
@@ -301,6 +303,8 @@
 	f.draining.Store(true)
 	defer close(f.drained)
 	start := time.Now()
+	end := start.Add(time.Duration(shutdownGraceShare * float64(f.settings.Grace)))
+	f.relayer.StopAt(end.Add(-answerMargin))
 	if f.service != nil {
 		f.service.StopAccepting()
 	}
@@ -309,7 +313,7 @@
 	case <-ctx.Done():
 	case <-time.After(time.Duration(balancerGraceShare * float64(f.settings.Grace))):
 	}
-	ctx, cancel := context.WithDeadline(ctx, start.Add(time.Duration(shutdownGraceShare*float64(f.settings.Grace))))
+	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	// Accept fails from here on; Serve waits for this function. The listener is closed
 	// again by Shutdown.
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -82,6 +82,15 @@
 	r.Table, r.Counted = q.routing.table.Version, q.counted
 	r.Deadline = q.deadline
 	r.TransitTime = cmp.Or(r.TransitTime, q.relayer.config.TransitTime) + hopTime
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-q.relayer.stopped:
+			cancel(context.DeadlineExceeded)
+		case <-ctx.Done():
+		}
+	}()
 	a, err := d.Delegate(ctx, r)
 	switch {
 	case err == nil:
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -165,6 +165,12 @@
 		deadline = request.Deadline
 	}
 	deadline = deadline.Add(-deadlineMargin)
+	if stop := r.stopAt.Load(); stop != nil && stop.Before(deadline) {
+		if time.Until(*stop) < route.Objective {
+			return r.Refuse(&request, NotReady)
+		}
+		deadline = *stop
+	}
 	if !time.Now().Before(deadline) {
 		return r.Refuse(&request, Expired)
 	}
@@ -264,11 +270,7 @@
 		case gatherer.Reply:
 			return q.mergedAnswer()
 		case gatherer.Fail:
-			if !q.received {
-				cancelSends()
-				q.awaitCancelled()
-			}
-			return q.failureAnswer(ctx)
+			return q.giveUp(ctx, cancelSends)
 		}
 		timer.Reset(time.Until(q.nextWake(until, delay)))
 		select {
@@ -279,10 +281,26 @@
 			if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 				return Answer{Reason: ClientLeft}
 			}
+		case <-q.relayer.stopped:
+			if q.partCount >= q.plan.MinParts {
+				return q.mergedAnswer()
+			}
+			q.deadline = time.Now()
+			return q.giveUp(ctx, cancelSends)
 		}
 	}
 }
 
+// giveUp returns the final answer to a request that could not be served. A request that no
+// server has received is cancelled first, so that it certainly has not run.
+func (q *query) giveUp(ctx context.Context, cancelSends context.CancelFunc) Answer {
+	if !q.received {
+		cancelSends()
+		q.awaitCancelled()
+	}
+	return q.failureAnswer(ctx)
+}
+
 // openShards returns the number of shards from which a part may still come.
 func (q *query) openShards() int {
 	n := 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -162,6 +162,10 @@
 	routing atomic.Pointer[routingState]
 	// memory is the allowance for the answers to all requests, nil without a bound.
 	memory *connector.Allowance
+	// stopAt is when the last final answers are sent in a planned stop, nil before one.
+	// stopped is closed at that time.
+	stopAt  atomic.Pointer[time.Time]
+	stopped chan struct{}
 	// runCtx is the context of the first Update. It ends when the host stops.
 	runCtx atomic.Pointer[context.Context]
 
@@ -201,6 +205,7 @@
 		startedAt: time.Now(),
 		throttles: map[string]*admitter.Throttle{},
 		hostCount: initialHostCount,
+		stopped:   make(chan struct{}),
 		rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	if c.HostBytes > 0 {
@@ -252,6 +257,14 @@
 	r.routing.Store(next)
 }
 
+// StopAt begins a planned stop: at the given time, requests that are still in flight get
+// their final answer, and from now on requests that would be late by then are refused. It
+// may be called once.
+func (r *Relayer) StopAt(at time.Time) {
+	r.stopAt.Store(&at)
+	time.AfterFunc(time.Until(at), func() { close(r.stopped) })
+}
+
 // runContext returns a context that ends when the host stops. It never ends before
 // the first Update.
 func (r *Relayer) runContext() context.Context {
