Test that control hosts whose disks were full in turn take changes again

Reported by another operator: long after the disks of counted machines were full, one after the other, changes were refused or unanswered.

--- /dev/null
+++ b/internal/control/server/fulldisk_test.go
@@ -0,0 +1,104 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/control/journaler"
+)
+
+// limitedDisk takes no more bytes while full is set. A write then stores a random part of
+// what it was given, as on a real disk.
+type limitedDisk struct {
+	journaler.OSFileSystem
+	full *atomic.Bool
+}
+
+type limitedFile struct {
+	journaler.File
+	full *atomic.Bool
+}
+
+func (d limitedDisk) Create(path string) (journaler.File, error) {
+	f, err := d.OSFileSystem.Create(path)
+	return limitedFile{f, d.full}, err
+}
+
+func (d limitedDisk) Open(path string) (journaler.File, error) {
+	f, err := d.OSFileSystem.Open(path)
+	return limitedFile{f, d.full}, err
+}
+
+func (f limitedFile) WriteAt(b []byte, at int64) (int, error) {
+	if !f.full.Load() {
+		return f.File.WriteAt(b, at)
+	}
+	n, err := f.File.WriteAt(b[:rand.IntN(len(b))], at)
+	if err != nil {
+		return n, err
+	}
+	return n, syscall.ENOSPC
+}
+
+// TestFullDisksInTurn guards against changes that are refused or stay unanswered long after
+// the disks of all control hosts were full, one after the other: each host in turn, the
+// leader among them, while documents are published at every host and snapshots are due.
+func TestFullDisksInTurn(t *testing.T) {
+	t.Parallel()
+	// ackLimit bounds the time until a change is acknowledged once all disks have room.
+	const ackLimit = 4 * time.Second
+	g := newOpenGroup(t)
+	var all []*Server
+	full := make([]atomic.Bool, len(g.seeds))
+	for i, a := range g.seeds {
+		all = append(all, g.startWith(a, func(s *Settings) {
+			s.Bootstrap, s.SnapshotEvery, s.fileSystem = true, 7, limitedDisk{full: &full[i]}
+		}))
+	}
+	version := uint64(1)
+	publish := func(limit time.Duration) error {
+		version++
+		ctx, cancel := context.WithTimeout(t.Context(), limit)
+		defer cancel()
+		var last error
+		for ctx.Err() == nil {
+			s := all[rand.IntN(len(all))]
+			call, stop := context.WithTimeout(ctx, time.Second)
+			got, err := s.Publish(call, version, []byte(fmt.Sprint("document ", version)))
+			stop()
+			if err == nil && got >= version {
+				return nil
+			}
+			last = err
+			time.Sleep(20 * time.Millisecond)
+		}
+		return last
+	}
+	g.publish(all[0], version, "first")
+	for round := range 2 {
+		for i := range full {
+			full[i].Store(true)
+			// The others are a majority and go on.
+			for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(30 * time.Millisecond) {
+				require.NoError(t, publish(2*ackLimit), "round %d, the disk of host %d is full", round, i)
+			}
+			full[i].Store(false)
+		}
+	}
+	for range 20 {
+		require.NoError(t, publish(ackLimit), "all disks have room")
+	}
+	for _, s := range all {
+		require.Eventually(t, func() bool {
+			got, _, err := s.Read(t.Context())
+			return err == nil && got == version
+		}, ackLimit, 50*time.Millisecond)
+	}
+}
--- a/internal/control/server/open_test.go
+++ b/internal/control/server/open_test.go
@@ -54,10 +54,17 @@
 }
 
 func (g *openGroup) start(a netip.AddrPort, bootstrap bool) *Server {
-	s, err := New(Settings{
+	return g.startWith(a, func(s *Settings) { s.Bootstrap = bootstrap })
+}
+
+// startWith starts a host with changed settings.
+func (g *openGroup) startWith(a netip.AddrPort, change func(*Settings)) *Server {
+	settings := Settings{
 		Name: a.Addr().String(), Zone: "z", Inner: a, Data: filepath.Join(g.root, a.Addr().String()),
-		Seeds: g.seeds, Bootstrap: bootstrap, Voters: 3, SilentAfter: time.Second,
-	}, testLogger().With("at", a), tally.NoopScope)
+		Seeds: g.seeds, Voters: 3, SilentAfter: time.Second,
+	}
+	change(&settings)
+	s, err := New(settings, testLogger().With("at", a), tally.NoopScope)
 	require.NoError(g.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &runningOpenHost{server: s, cancel: cancel, done: make(chan error, 1)}
