Obey servers that say that they leave, or for how long they want no requests

A host uses a server no more once an answer of its incarnation says that it leaves, whatever it checks in as, and tells the control leader, which records it as draining: the registry then tells all hosts, and hosts that restart, and later check-ins as ready change nothing. A server that names a time with 503 gets no request from that host until then, also none that waited for a connection; the pause is not shared between hosts, because the server speaks to one host and news by a watch request takes up to 2 s. Shards whose servers all pause are left out, or the request is refused at once with the time at which the first server wants requests again. A time that is none, or over an hour, is ignored.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -47,6 +47,8 @@
 var (
 	// ErrUnsent means that no byte of the request was sent to the server.
 	ErrUnsent = errors.New("request was not sent")
+	// ErrWithheld means that Request.MaySend returned false. It is joined with ErrUnsent.
+	ErrWithheld = errors.New("request was withheld")
 	// ErrBroken means that after at least part of the request was sent the
 	// connection closed or carried something that is not a complete response. The
 	// server may have run the request.
@@ -70,6 +72,9 @@
 	// depend on the time, such as the remaining time, because a request may wait
 	// for a connection. It may be nil.
 	BeforeSend func(http.Header)
+	// MaySend is called before BeforeSend, once there is a connection. If it returns false, the request is
+	// not sent. It may be nil.
+	MaySend func() bool
 	// MatchesResponse reports whether a response with these headers belongs to this
 	// request. Servers may repeat the response to an earlier request; it is skipped
 	// and the next one is read. Nil accepts every response.
@@ -301,6 +306,10 @@
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		p.release(c, false)
+		return nil, errors.Join(ErrUnsent, ErrWithheld)
+	}
 	c.used = true
 	response, reusable, err := c.exchange(ctx, r)
 	if err != nil {
--- a/internal/control/server/checkins.go
+++ b/internal/control/server/checkins.go
@@ -93,6 +93,27 @@
 	l.pendingCheckIns = append(l.pendingCheckIns, pendingCheckIn{message: r.GetRegistration(), done: done})
 }
 
+// markLeaving records servers that told an entry host that they are about to stop as
+// draining, as if they had said so in a check-in. Their later check-ins as ready change
+// nothing.
+func (l *loop) markLeaving(list []*messenger.Process, done func(*messenger.SuspectReply, error)) {
+	if !l.isLeader() {
+		done(&messenger.SuspectReply{Leader: l.leaderAddress()}, nil)
+		return
+	}
+	for _, p := range list {
+		s, ok := l.keeper.Registry().Get(p.GetServer())
+		if !ok || s.Incarnation != p.GetIncarnation() || s.State != registrar.Ready && s.State != registrar.Silent {
+			continue
+		}
+		s.State = registrar.Draining
+		s.Sequence++
+		l.log.Info("backend server told an entry host that it is leaving", "server", s.Name, "service", s.Service, "incarnation", s.Incarnation)
+		l.pendingCheckIns = append(l.pendingCheckIns, pendingCheckIn{message: s.Message(), done: func(*messenger.RegisterReply, error) {}})
+	}
+	done(&messenger.SuspectReply{Granted: true}, nil)
+}
+
 // proposeCheckIns proposes the pending check-ins as one command.
 func (l *loop) proposeCheckIns() {
 	if len(l.pendingCheckIns) == 0 {
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -312,9 +312,17 @@
 	})
 }
 
-// Suspect passes reports of crashes and of isolated runs to the quarantine.
+// Suspect passes reports of crashes and of isolated runs to the quarantine, and takes
+// servers that are about to stop out of service.
 func (s *service) Suspect(ctx context.Context, r *messenger.SuspectRequest) (*messenger.SuspectReply, error) {
-	return s.proposeQuarantineChange(ctx, &messenger.Command{Action: &messenger.Command_Suspect{Suspect: r}})
+	if len(r.GetLeaving()) > 0 {
+		reply, err := runInLoop(ctx, s.server, func(l *loop, done func(*messenger.SuspectReply, error)) { l.markLeaving(r.GetLeaving(), done) })
+		if err != nil || !reply.GetGranted() || len(r.GetObservations())+len(r.GetRoutes()) == 0 {
+			return reply, err
+		}
+	}
+	c := &messenger.SuspectRequest{Observations: r.GetObservations(), Routes: r.GetRoutes()}
+	return s.proposeQuarantineChange(ctx, &messenger.Command{Action: &messenger.Command_Suspect{Suspect: c}})
 }
 
 // Release lists suspicions, or changes one for an operator.
--- a/internal/control/subscriber/reports.go
+++ b/internal/control/subscriber/reports.go
@@ -26,6 +26,8 @@
 	nonEmpty chan struct{} // signals that a report was queued
 	// lastNumber is the number of the last report, part of the ids of reports.
 	lastNumber uint64
+	// leaving holds the servers that are about to stop, at most maxQueuedReports of them.
+	leaving []*messenger.Process
 	// dropped is the number of reports that found the ring full.
 	dropped uint64
 }
@@ -61,6 +63,30 @@
 	return true
 }
 
+// addLeaving queues a server that is about to stop.
+func (q *reportQueue) addLeaving(server string, incarnation uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.leaving) >= maxQueuedReports {
+		q.dropped++
+		return
+	}
+	q.leaving = append(q.leaving, &messenger.Process{Server: server, Incarnation: incarnation})
+	select {
+	case q.nonEmpty <- struct{}{}:
+	default:
+	}
+}
+
+// takeLeaving removes and returns the servers that are about to stop.
+func (q *reportQueue) takeLeaving() []*messenger.Process {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list := q.leaving
+	q.leaving = nil
+	return list
+}
+
 // DroppedReports returns the number of crash reports dropped because the queue was
 // full.
 func (s *Subscriber) DroppedReports() uint64 {
--- a/internal/control/subscriber/suspects.go
+++ b/internal/control/subscriber/suspects.go
@@ -22,6 +22,12 @@
 	return w.reports.add(o, w.config.Host, w.config.Incarnation)
 }
 
+// ReportLeaving queues the news that a backend server told this host that it is about to
+// stop.
+func (w *Watcher) ReportLeaving(server string, incarnation uint64) {
+	w.reports.addLeaving(server, incarnation)
+}
+
 // reportLoop sends the queued observations until ctx ends.
 func (w *Watcher) reportLoop(ctx context.Context) {
 	for {
@@ -30,8 +36,12 @@
 			return
 		case <-w.reports.nonEmpty:
 		}
-		for batch := w.reports.nextBatch(); len(batch) > 0; batch = w.reports.nextBatch() {
-			if !w.sendReports(ctx, &messenger.SuspectRequest{Routes: batch}) {
+		for {
+			r := &messenger.SuspectRequest{Routes: w.reports.nextBatch(), Leaving: w.reports.takeLeaving()}
+			if len(r.GetRoutes())+len(r.GetLeaving()) == 0 {
+				break
+			}
+			if !w.sendReports(ctx, r) {
 				return
 			}
 		}
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -131,17 +131,18 @@
 		f.delegator = delegator.New(delegator.Config{Address: s.Peer, Zone: s.Zone, Log: logger, Scope: scope.SubScope("peer")})
 	}
 	f.relayer = relayer.New(relayer.Config{
-		Zone:        s.Zone,
-		Codec:       a.Codec,
-		Budget:      relayer.Budget{Ratio: s.Ratio, ExtraPerWindow: s.Extra, Window: s.Window},
-		TransitTime: a.ClientMargin,
-		AnswerBytes: s.AnswerBytes,
-		HostBytes:   s.MemoryBytes / answerMemoryDivisor,
-		Delegator:   f.requestDelegator(),
-		ControlAge:  func() time.Duration { return time.Since(f.watcher.State().LastReply) },
-		Observe:     func(o quarantiner.Observation) bool { return f.watcher.ReportObservation(o) },
-		Log:         logger,
-		Scope:       scope.SubScope("relay"),
+		Zone:          s.Zone,
+		Codec:         a.Codec,
+		Budget:        relayer.Budget{Ratio: s.Ratio, ExtraPerWindow: s.Extra, Window: s.Window},
+		TransitTime:   a.ClientMargin,
+		AnswerBytes:   s.AnswerBytes,
+		HostBytes:     s.MemoryBytes / answerMemoryDivisor,
+		Delegator:     f.requestDelegator(),
+		ControlAge:    func() time.Duration { return time.Since(f.watcher.State().LastReply) },
+		ReportLeaving: func(server string, incarnation uint64) { f.watcher.ReportLeaving(server, incarnation) },
+		Observe:       func(o quarantiner.Observation) bool { return f.watcher.ReportObservation(o) },
+		Log:           logger,
+		Scope:         scope.SubScope("relay"),
 	})
 	if peers != nil {
 		f.service = delegator.NewService(f.delegator, f.relayer)
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -13,8 +13,8 @@
 	unknown availability = iota
 	// unreachable means that servers check in, but none can be reached from this host.
 	unreachable
-	// limited means that all servers that can be reached name a rate limit, and this host
-	// has no room within it.
+	// limited means that all servers that can be reached name a rate limit within which this
+	// host has no room, or want no requests for a time.
 	limited
 	// available means that at least one server can take the request.
 	available
@@ -89,7 +89,7 @@
 func (r *Relayer) availabilityOf(now time.Time, routing *routingState, service string) availability {
 	m := routing.services[service]
 	result := unknown
-	if len(m.ready) > 0 {
+	if slices.ContainsFunc(m.ready, func(name string) bool { return !routing.servers[name].leaving.Load() }) {
 		result = unreachable
 	}
 	for _, names := range [][]string{m.ready, m.silent} {
@@ -97,7 +97,7 @@
 			if !routing.servers[name].reachable() {
 				continue
 			}
-			if r.limits.HasRoom(now, name) {
+			if r.hasRoom(now, routing.servers[name]) {
 				return available
 			}
 			result = limited
@@ -109,7 +109,8 @@
 	return result
 }
 
-// refuseLimited refuses a request because of rate limits. It may return when as many of
+// refuseLimited refuses a request because of rate limits or of servers that want no
+// requests for a time. It may return when as many of
 // the services as are missing have room. If this host has no share of their
 // limits, another one may take the request at any time. The caller holds the lock.
 func (q *query) refuseLimited(now time.Time, services []string, missing int) Answer {
@@ -122,7 +123,7 @@
 	for _, service := range services {
 		var next wait
 		for _, name := range q.routing.services[service].ready {
-			at, ok := r.limits.NextRoom(now, name)
+			at, ok := r.nextRoom(now, q.routing.servers[name])
 			if ok && q.routing.servers[name].reachable() && (next.server == "" || at.Before(next.until)) {
 				next = wait{server: name, until: at}
 			}
@@ -139,7 +140,7 @@
 		}
 		retryAfter = max(retryAfter, waits[missing-1].until.Sub(now))
 	}
-	r.config.Log.Info("no room within rate limits", "request", q.id, "route", q.route.Name, "services", services, "missing", missing,
+	r.config.Log.Info("no room within rate limits, or all servers paused", "request", q.id, "route", q.route.Name, "services", services, "missing", missing,
 		"retry", retryAfter)
 	return Answer{Reason: RateLimited, RetryAfter: retryAfter}
 }
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -53,6 +53,7 @@
 		q.relayer.config.Codec.Encode(h, q.id, time.Until(q.deadline), s.Name)
 	}
 	request.MatchesResponse = func(h http.Header) bool { return q.relayer.config.Codec.RequestID(h) == q.id }
+	request.MaySend = func() bool { return s.wantsRequests(time.Now()) }
 	response, err := s.pool.Do(ctx, &request)
 	r.response, r.err, r.arrivedAt = response, err, time.Now()
 	r.latency = r.arrivedAt.Sub(start)
@@ -76,7 +77,7 @@
 // the given id.
 func classify(ctx context.Context, id string, r sendResult) caller.Status {
 	switch {
-	case errors.Is(r.err, connector.ErrUnsent) && ctx.Err() != nil:
+	case errors.Is(r.err, connector.ErrUnsent) && ctx.Err() != nil, errors.Is(r.err, connector.ErrWithheld):
 		return caller.Refused
 	case errors.Is(r.err, connector.ErrUnsent):
 		return caller.Unsent
@@ -114,6 +115,7 @@
 		r.selector.LoadReported(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
 	}
 	r.observeLimit(now, q.id, res)
+	r.observeNotice(now, q.id, res)
 	r.observeLinks(now, res)
 	r.observeRun(now, q, res)
 	if signal, ok := q.loadSignal(now, res); ok {
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -136,7 +136,7 @@
 // or, if there is none, a silent one, which has not checked in for a while. Servers
 // that are down are skipped until a connection to them has been opened, because
 // waiting for the connection would make the answer late. Servers without room in their
-// rate limit are skipped too; withheld is the number of those that would have been
+// rate limit, and those that want no requests for a time, are skipped too; withheld is the number of those that would have been
 // chosen. The caller holds the lock.
 func (r *Relayer) pickServer(now time.Time, routing *routingState, service string, tried []string) (target *server, withheld int) {
 	m := routing.services[service]
@@ -148,7 +148,7 @@
 				break
 			}
 			if s := routing.servers[name]; s.reachable() {
-				if r.limits.HasRoom(now, name) {
+				if r.hasRoom(now, s) {
 					return s, withheld
 				}
 				withheld++
--- a/internal/route/relayer/final_answer.go
+++ b/internal/route/relayer/final_answer.go
@@ -49,20 +49,28 @@
 	case ran:
 		return Answer{Reason: Broken}
 	case tried:
-		return Answer{Reason: Shed, RetryAfter: q.relayer.retryAfter()}
+		return Answer{Reason: Shed, RetryAfter: q.retryAfter()}
 	}
-	return Answer{Reason: NoServer, RetryAfter: q.relayer.retryAfter()}
+	return Answer{Reason: NoServer, RetryAfter: q.retryAfter()}
 }
 
-// retryAfter returns a random delay, so that refused clients do not all retry at the
-// same time.
-func (r *Relayer) retryAfter() time.Duration {
+// retryAfter returns when a refused request may come again: a random delay, so that refused
+// clients do not all retry at the same time, and not before there is a server that wants
+// requests for each shard that is missing.
+func (q *query) retryAfter() time.Duration {
+	r, now := q.relayer, time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.jitter()
+	var wait time.Duration
+	for i := range q.shards {
+		if s := &q.shards[i]; s.part == nil {
+			wait = max(wait, q.routing.pauseOf(now, s.service))
+		}
+	}
+	return wait + r.jitter()
 }
 
-// jitter is retryAfter for callers that hold the lock.
+// jitter returns a random delay. The caller holds the lock.
 func (r *Relayer) jitter() time.Duration {
 	return minRetryAfter + time.Duration(r.rand.Int64N(int64(2*minRetryAfter)))
 }
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -357,7 +357,7 @@
 		// budget, because the server had to handle this one.
 		s.attempts--
 		q.resend(ctx, res, retrySend)
-	case caller.Unsent:
+	case caller.Unsent, caller.Refused:
 		s.attempts--
 		q.resend(ctx, res, rerouteSend)
 	default:
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -94,6 +94,11 @@
 	Load Load
 	// Limit is the rate limit that the server named, if any.
 	Limit NamedLimit
+	// Leaving means that the server is about to stop and takes no further requests.
+	Leaving bool
+	// RetryAfter is how long the server wants no requests from this host, 0 if it does
+	// not say.
+	RetryAfter time.Duration
 }
 
 // NamedLimit is the rate limit that a server named in an answer.
@@ -144,6 +149,9 @@
 	// Delegator hands requests over to other hosts while this one cannot reach the backend
 	// servers. It is nil if there is no such way.
 	Delegator Delegator
+	// ReportLeaving passes on that a server is about to stop. It must not block. It may be
+	// nil.
+	ReportLeaving func(server string, incarnation uint64)
 	// ControlAge returns the time since the last message from the control hosts. It is
 	// nil if that is unknown.
 	ControlAge func() time.Duration
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -43,6 +43,8 @@
 	m := AnswerMetadata{RequestID: c.RequestID(h), Stamp: h.Get("Stamp"), Refused: h.Get("Refused") != "", Misdirected: status == http.StatusMisdirectedRequest}
 	m.Limit.Named = h.Get("Limit") != ""
 	m.Limit.Rate, _ = strconv.ParseFloat(h.Get("Limit"), 64)
+	m.Leaving = h.Get("Leaving") != ""
+	m.RetryAfter, _ = time.ParseDuration(h.Get("Pause"))
 	return m
 }
 
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -49,10 +49,25 @@
 	down atomic.Bool
 	// load is the latest load that the server reported.
 	load atomic.Pointer[reportedLoad]
+	// leaving is set once the server has said that it is about to stop.
+	leaving atomic.Bool
+	// pausedUntil is until when the server wants no requests, nil if it never said so.
+	pausedUntil atomic.Pointer[time.Time]
 }
 
 // reachable reports whether requests may be sent to the server.
-func (s *server) reachable() bool { return !s.misdirected.Load() && !s.down.Load() }
+func (s *server) reachable() bool {
+	return !s.misdirected.Load() && !s.down.Load() && !s.leaving.Load()
+}
+
+// copyObserved copies what this host has observed of the server from an earlier value for
+// the same incarnation, except whether it is down.
+func (s *server) copyObserved(earlier *server) {
+	s.misdirected.Store(earlier.misdirected.Load())
+	s.load.Store(earlier.load.Load())
+	s.leaving.Store(earlier.leaving.Load())
+	s.pausedUntil.Store(earlier.pausedUntil.Load())
+}
 
 // reportedLoad is a load with the time at which this host received it.
 type reportedLoad struct {
@@ -71,7 +86,7 @@
 func (r *Relayer) othersCongested(now time.Time, state *routingState, except *server) bool {
 	for _, name := range state.services[except.Service].ready {
 		s := state.servers[name]
-		if s == except || !s.reachable() || !r.limits.HasRoom(now, name) {
+		if s == except || !s.reachable() || !r.hasRoom(now, s) {
 			continue
 		}
 		l := s.load.Load()
@@ -122,11 +137,10 @@
 		r.selector.Resize(s.Name, maxConcurrent(s, limit))
 		if current.State != s.State || current.Slots != s.Slots {
 			changed := &server{Server: s, pool: current.pool}
-			changed.misdirected.Store(current.misdirected.Load())
+			changed.copyObserved(current)
 			if current.down.Load() {
 				r.markDown(ctx, changed)
 			}
-			changed.load.Store(current.load.Load())
 			current = changed
 		}
 	} else {
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -38,6 +38,11 @@
 	// Limit is the rate limit, in requests a second, that the server names in its
 	// answers, 0 for none.
 	Limit float64
+	// Leaving makes the server say in its answers that it is about to stop.
+	Leaving bool
+	// RetryAfter, if not empty, makes the server refuse all requests and name the text as
+	// the time after which it wants others.
+	RetryAfter string
 	// CrashText ends the server when it begins to run a request whose path contains the
 	// text; empty means never. OnCrash is then called with the time of the arrival.
 	CrashText string
@@ -69,6 +74,9 @@
 	// limitedArrivals holds the arrival times of requests while the server names a limit.
 	limitedArrivals []time.Time
 	drainAcked      time.Time
+	// noticedArrivals holds the arrival times of requests while the server says that it
+	// is about to stop or that it wants no requests.
+	noticedArrivals []time.Time
 	state           string
 	sequence        int
 	cancel          context.CancelFunc
@@ -130,6 +138,30 @@
 	return most
 }
 
+// recordNotice records the arrival of a request if the server's answer has a notice.
+func (b *Backend) recordNotice(v *Behavior) {
+	if !v.Leaving && v.RetryAfter == "" {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noticedArrivals = append(b.noticedArrivals, time.Now())
+}
+
+// ArrivalsAfterNotice returns the number of requests that arrived between two times after
+// the first one that was answered with a notice.
+func (b *Backend) ArrivalsAfterNotice(from, to time.Duration) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, at := range b.noticedArrivals {
+		if after := at.Sub(b.noticedArrivals[0]); after >= from && after < to {
+			n++
+		}
+	}
+	return n
+}
+
 // LateRequests returns the arrival times of requests that came more than
 // DrainGrace after draining was acknowledged.
 func (b *Backend) LateRequests() []time.Time {
@@ -210,7 +242,14 @@
 		b.limitedArrivals = append(b.limitedArrivals, time.Now())
 		b.mu.Unlock()
 	}
-	if b.randomFloat() < v.RefuseRate {
+	b.recordNotice(v)
+	if v.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	if v.RetryAfter != "" {
+		w.Header().Set("Retry-After", v.RetryAfter)
+	}
+	if v.RetryAfter != "" || b.randomFloat() < v.RefuseRate {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
