--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -13,16 +13,10 @@
 )
 
 const (
-	// crashText marks the path of a request that ends each server which runs it.
-	crashText = "deadly"
+	// crashMeanPause is the mean time between two sends of the request by its client.
+	crashMeanPause = 300 * time.Millisecond
 	// crashRestart is the time until a server that ended is back.
 	crashRestart = 2 * time.Second
-	// crashPause is the mean time between two sends of the request by its client.
-	crashPause = 300 * time.Millisecond
-	// crashSettle is the time after the end of the third server from which on at most
-	// crashSlack further sends of the request may reach servers.
-	crashSettle = 4 * time.Second
-	crashSlack  = 3
 	// minOthersServed is the least share of other requests to the same services that is
 	// served while the request keeps coming.
 	minOthersServed = 0.95
@@ -55,7 +49,7 @@
 			t.Errorf("request %s: %s", o.ID, o.Failure)
 		}
 	})
-	f.load(&group, stop, 1, crashPause, send, func(string) string { return crashText }, func(o standin.Outcome) {
+	f.load(&group, stop, 1, crashMeanPause, send, func(string) string { return standin.CrashText }, func(o standin.Outcome) {
 		if o.Served {
 			t.Errorf("request %s was served", o.ID)
 		}
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	kinds := []func(time.Duration){
 		s.stopRelay, s.killRelay, s.pauseRelay, s.killMember, s.pauseMember, s.wipeMember, s.killMembers,
 		s.degradeBackend, s.degradeBackend, s.injectLinkFault, s.injectLinkFault, s.resetConnections, s.drainBackend, s.crashBackend, s.limitBackend,
+		s.sendCrashingRequest, s.leaveBackend, s.pauseBackend,
 	}
 	kind := kinds[s.randomInt(len(kinds))]
 	return func() { kind(length) }
@@ -261,3 +263,130 @@
 	time.Sleep(pause)
 	s.addBackend(b.Service)
 }
+
+const (
+	// crashPause is the time between two sends of a request that ends servers, and
+	// crashSends their number.
+	crashPause = 200 * time.Millisecond
+	crashSends = 40
+	// crashReplacement is the time until a server that ended is replaced.
+	crashReplacement = 1500 * time.Millisecond
+	// crashSettle is the time after the third end from which on at most crashSlack further
+	// servers may end, if no process of the system was disturbed meanwhile.
+	crashSettle = 4 * time.Second
+	crashSlack  = 3
+)
+
+// crashSlot admits one request that ends servers at a time, so that its ends can be told.
+var crashSlot = make(chan struct{}, 1)
+
+// sendCrashingRequest sends a request that ends each server which runs it, again and again
+// to random relays, and checks how many servers end.
+func (s *soak) sendCrashingRequest(time.Duration) {
+	select {
+	case crashSlot <- struct{}{}:
+	default:
+		return
+	}
+	defer func() { <-crashSlot }()
+	s.mu.Lock()
+	s.crashes = nil
+	s.mu.Unlock()
+	start := time.Now()
+	kind := s.randomInt(3)
+	path := fmt.Sprintf("%s-%x", standin.CrashText, start.UnixNano())
+	for i := range crashSends {
+		c := &standin.Client{Address: s.system.EntryAddresses[s.randomInt(relays)], ServiceOf: s.serviceOf}
+		id := fmt.Sprintf("%d-%s-%d", s.seed, path, i)
+		var o standin.Outcome
+		switch kind {
+		case 0:
+			o = c.Fetch(id, path)
+		case 1:
+			o = c.Search(id, path)
+		default:
+			o = c.Order(id, path)
+		}
+		if o.Served {
+			s.failf("request %s was served", id)
+		}
+		s.mu.Lock()
+		s.outcomes[id] = clientResult{unsafe: kind == 2, status: o.Status}
+		s.mu.Unlock()
+		time.Sleep(crashPause)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := 0
+	for i, at := range s.crashes {
+		if i >= 3 && at.Sub(s.crashes[2]) > crashSettle {
+			late++
+		}
+	}
+	if late > crashSlack && s.lastDisturbance.Before(start) {
+		s.failures = append(s.failures, fmt.Sprintf("%d servers ended under %s, %d of them later than %s after the third", len(s.crashes), path, late, crashSettle))
+	}
+}
+
+// replaceCrashed records that a server ended under a request, closes its address and starts
+// another server later.
+func (s *soak) replaceCrashed(service string, proxy *standin.Proxy) {
+	proxy.Close()
+	s.mu.Lock()
+	s.crashes = append(s.crashes, time.Now())
+	s.mu.Unlock()
+	s.replacements.Go(func() {
+		time.Sleep(crashReplacement)
+		s.addBackend(service)
+	})
+}
+
+// What a server that says that it is about to stop, or that it wants no requests, has to be
+// sent at most: each start of a relay may send one before it knows.
+const (
+	leaveSettle  = 3500 * time.Millisecond
+	pauseSettle  = 500 * time.Millisecond
+	pauseSeconds = 3
+)
+
+// leaveBackend makes a server say in its answers that it is about to stop, while it goes on
+// checking in as ready, and replaces it.
+func (s *soak) leaveBackend(length time.Duration) {
+	b, p := s.randomBackend()
+	if s.isLimited(p) {
+		return
+	}
+	start := time.Now()
+	if s.addBackend(b.Service) == nil {
+		return
+	}
+	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, Leaving: true})
+	time.Sleep(leaveSettle + length)
+	s.checkNotice(b, start, leaveSettle, time.Hour, 0)
+	b.Crash()
+	p.Close()
+}
+
+// pauseBackend makes a server refuse requests and name a time for which it wants none.
+func (s *soak) pauseBackend(time.Duration) {
+	b, p := s.randomBackend()
+	if s.isLimited(p) {
+		return
+	}
+	start := time.Now()
+	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, RetryAfter: fmt.Sprint(pauseSeconds)})
+	time.Sleep(pauseSeconds * time.Second)
+	s.checkNotice(b, start, pauseSettle, pauseSeconds*time.Second, 2)
+	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond})
+}
+
+// checkNotice checks that no more than most requests from each relay, and the one by which
+// each learns of the notice, arrived between two times after the first one.
+func (s *soak) checkNotice(b *standin.Backend, start time.Time, from, to time.Duration, most int) {
+	n := b.ArrivalsAfterNotice(from, to)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n > relays*(most+1) && s.lastDisturbance.Before(start) {
+		s.failures = append(s.failures, fmt.Sprintf("server %s got %d requests between %s and %s after its first notice", b.ID, n, from, to))
+	}
+}
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -64,7 +64,8 @@
 	if err != nil {
 		return err
 	}
-	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, CrashText: crashText, OnCrash: func(at time.Time) { f.replace(service, at) }})
+	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond})
+	b.OnCrash(func() { f.replace(service, time.Now()) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.backends = append(f.backends, b)
--- a/test/soak/notice_test.go
+++ b/test/soak/notice_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,16 +12,9 @@
 	"gentianpond/test/standin"
 )
 
-const (
-	// noticeSettle is the time after the first answer of a leaving server from which on no
-	// request may reach it. It is the time that servers go on serving.
-	noticeSettle = 3500 * time.Millisecond
-	// pauseSeconds is the time for which servers want no requests from a host. From
-	// pauseSettle after such an answer on it may send at most pauseSlack.
-	pauseSeconds = "3"
-	pauseSettle  = 500 * time.Millisecond
-	pauseSlack   = 2
-)
+// pauseSlack is the number of requests that a host may send to a server from pauseSettle
+// after the server said that it wants none.
+const pauseSlack = 2
 
 // runLoad sends fetches and searches until the returned function is called, which returns
 // their number, that of those served, and the longest time until an answer.
@@ -75,8 +69,8 @@
 	time.Sleep(8 * time.Second)
 	sent, served, _ := stop()
 	t.Logf("%d of %d requests served; %d at the leaving server, %d later than %s", served, sent,
-		leaving.ArrivalsAfterNotice(0, time.Hour), leaving.ArrivalsAfterNotice(noticeSettle, time.Hour), noticeSettle)
-	require.Zero(t, leaving.ArrivalsAfterNotice(noticeSettle, time.Hour))
+		leaving.ArrivalsAfterNotice(0, time.Hour), leaving.ArrivalsAfterNotice(leaveSettle, time.Hour), leaveSettle)
+	require.Zero(t, leaving.ArrivalsAfterNotice(leaveSettle, time.Hour))
 	require.GreaterOrEqual(t, float64(served), minOthersServed*float64(sent))
 }
 
@@ -88,7 +82,7 @@
 	services := []string{standin.OrderService, standin.ShardServices[0]}
 	for _, service := range services {
 		for _, b := range f.serversOf(service) {
-			b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, RetryAfter: pauseSeconds})
+			b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, RetryAfter: fmt.Sprint(pauseSeconds)})
 		}
 	}
 	stop := f.runLoad(t)
@@ -97,7 +91,7 @@
 	for _, service := range services {
 		for _, b := range f.serversOf(service) {
 			// Hosts are not told apart here: each may have been answered at another time.
-			n := b.ArrivalsAfterNotice(pauseSettle, 3*time.Second)
+			n := b.ArrivalsAfterNotice(pauseSettle, pauseSeconds*time.Second)
 			t.Logf("%s of %s: %d requests, %d within the pause", b.ID, service, b.ArrivalsAfterNotice(0, time.Hour), n)
 			require.LessOrEqual(t, n, hosts*pauseSlack)
 		}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -45,7 +45,11 @@
 	backends []*standin.Backend
 	proxies  map[*standin.Backend]*standin.Proxy
 	// limited holds the proxies of backend servers that name a rate limit.
-	limited         map[*standin.Proxy]bool
+	limited map[*standin.Proxy]bool
+	// crashes are the times at which servers ended under a request, and replacements
+	// waits until others are in their place.
+	crashes         []time.Time
+	replacements    sync.WaitGroup
 	services        map[string]string
 	createdBackends int
 	outcomes        map[string]clientResult
@@ -163,6 +167,7 @@
 	}
 	close(stop)
 	group.Wait()
+	s.replacements.Wait()
 }
 
 // runClient sends requests to random relays until stop is closed. It reuses the
@@ -268,6 +273,7 @@
 		return nil
 	}
 	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond})
+	b.OnCrash(func() { s.replaceCrashed(service, proxy) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.backends = append(s.backends, b)
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -43,12 +43,12 @@
 	// RetryAfter, if not empty, makes the server refuse all requests and name the text as
 	// the time after which it wants others.
 	RetryAfter string
-	// CrashText ends the server when it begins to run a request whose path contains the
-	// text; empty means never. OnCrash is then called with the time of the arrival.
-	CrashText string
-	OnCrash   func(at time.Time)
 }
 
+// CrashText ends the servers for which OnCrash was called when they begin to run a request
+// whose path contains it.
+const CrashText = "deadly"
+
 // Backend is a fake backend server, from its start to its end. A restarted server
 // is a new Backend.
 type Backend struct {
@@ -63,6 +63,7 @@
 	announcedAddress string
 	controlAddresses []string
 	behavior         atomic.Pointer[Behavior]
+	onCrash          atomic.Pointer[func()]
 	randomFloat      func() float64
 
 	mu sync.Mutex
@@ -106,8 +107,17 @@
 	return b, nil
 }
 
-// SetBehavior changes how the server answers.
-func (b *Backend) SetBehavior(v Behavior) { b.behavior.Store(&v) }
+// SetBehavior changes how the server answers. A notice begins anew.
+func (b *Backend) SetBehavior(v Behavior) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noticedArrivals = nil
+	b.behavior.Store(&v)
+}
+
+// OnCrash makes the server end, as if it had crashed, when it begins to run a request with
+// CrashText. It then calls f.
+func (b *Backend) OnCrash(f func()) { b.onCrash.Store(&f) }
 
 // ForEachRun calls f for each request that ran, with the number of executions.
 func (b *Backend) ForEachRun(f func(id string, count int)) {
@@ -260,9 +270,9 @@
 		b.lateRequests = append(b.lateRequests, time.Now())
 	}
 	b.mu.Unlock()
-	if v.CrashText != "" && strings.Contains(r.URL.Path, v.CrashText) {
+	if f := b.onCrash.Load(); f != nil && strings.Contains(r.URL.Path, CrashText) {
 		b.Crash()
-		v.OnCrash(time.Now())
+		(*f)()
 		panic(http.ErrAbortHandler)
 	}
 	select {
--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -151,6 +151,9 @@
 	return nil
 }
 
+// SetBinary changes the program that later starts run.
+func (p *Process) SetBinary(path string) { p.binaryPath = path }
+
 // Restart starts the process again. A member gets the settings without bootstrap.
 func (p *Process) Restart() error {
 	if next, err := os.ReadFile(p.settingsPath + ".next"); err == nil {
