--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -57,8 +57,10 @@
 	lastDisturbance time.Time
 	served          atomic.Int64
 	requests        atomic.Int64
-	operator        standin.Operator
-	lastVersion     atomic.Uint64
+	// searches counts the searches that reached a relay.
+	searches, servedSearches atomic.Int64
+	operator                 standin.Operator
+	lastVersion              atomic.Uint64
 }
 
 // clientResult is what a client learned about one request; status is 0 if it
@@ -200,7 +202,7 @@
 func (s *soak) sendRequest(c *standin.Client, id string) bool {
 	path := fmt.Sprint(s.randomInt(1000))
 	var o standin.Outcome
-	unsafe := false
+	unsafe, search := false, false
 	switch s.randomInt(4) {
 	case 0:
 		o = c.Fetch(id, path)
@@ -208,12 +210,20 @@
 		unsafe = true
 		o = c.Order(id, path)
 	default:
+		search = true
 		o = c.Search(id, path)
 	}
 	s.requests.Add(1)
 	if o.Served {
 		s.served.Add(1)
 	}
+	// A request without a connection has reached no relay.
+	if search && !o.Unsent {
+		s.searches.Add(1)
+		if o.Served {
+			s.servedSearches.Add(1)
+		}
+	}
 	if o.Failure != "" {
 		s.failf("request %s: %s", id, o.Failure)
 	}
