--- a/cmd/gentianpond/explain.go
+++ b/cmd/gentianpond/explain.go
@@ -12,7 +12,8 @@
 	"github.com/go-faster/errors"
 )
 
-const helpExplain = `Print the log lines of one request in chronological order.
+const helpExplain = `Print the log lines of one request, or of all requests with one fingerprint, in
+chronological order.
 
 The logs are read from the files, or from standard input if no file is given.`
 
@@ -31,7 +32,7 @@
 	sub := newSubcommand("explain", helpExplain)
 	var id string
 	var files []string
-	sub.AddPositionalValue(&id, "request", 1, true, "Id of the request.")
+	sub.AddPositionalValue(&id, "request", 1, true, "Id of the request, or a fingerprint.")
 	sub.StringSlice(&files, "f", "file", "File with logs; may be given several times.")
 	return command{sub: sub, run: func(context.Context) error { return explain(os.Stdout, id, files) }}
 }
@@ -69,7 +70,7 @@
 	return nil
 }
 
-// findRequestLines returns the log lines that name the request. What precedes the
+// findRequestLines returns the log lines that name the request or the fingerprint. What precedes the
 // time field of a line, such as a prefix, is cut off.
 func findRequestLines(r io.Reader, id string) ([]logLine, error) {
 	var lines []logLine
@@ -78,7 +79,8 @@
 	for s.Scan() {
 		text := s.Text()
 		start := strings.Index(text, "time=")
-		if start < 0 || !slices.Contains(strings.Fields(text), "request="+id) {
+		named := func(field string) bool { return field == "request="+id || field == "fingerprint="+id }
+		if start < 0 || !slices.ContainsFunc(strings.Fields(text), named) {
 			continue
 		}
 		timeField, _, _ := strings.Cut(text[start:], " ")
--- a/cmd/gentianpond/explain_test.go
+++ b/cmd/gentianpond/explain_test.go
@@ -18,12 +18,17 @@
 		`time=2026-01-01T00:00:01Z level=info msg="request sent again" request=ab cause=hedge`,
 		`time=2026-01-01T00:00:01Z level=info msg="request sent again" request=abc cause=hedge`,
 		`no log line request=ab`,
+		`time=2026-01-01T00:00:03Z level=warn msg="backend server ended while it had a request" request=ad fingerprint=00ff`,
+		`time=2026-01-01T00:00:04Z level=warn msg="backend server ended while it had a request" request=ae fingerprint=00ffa`,
 	}, "\n")), 0o600))
 	var out strings.Builder
 	require.NoError(t, explain(&out, "ab", []string{name}))
 	require.Equal(t, `time=2026-01-01T00:00:01Z level=info msg="request sent again" request=ab cause=hedge
 time=2026-01-01T00:00:02Z level=warn msg="request late, incomplete or failed" request=ab reason=broken
 `, out.String())
+	out.Reset()
+	require.NoError(t, explain(&out, "00ff", []string{name}))
+	require.Equal(t, "time=2026-01-01T00:00:03Z level=warn msg=\"backend server ended while it had a request\" request=ad fingerprint=00ff\n", out.String())
 	require.Error(t, explain(&out, "zz", []string{name}))
 	require.ErrorIs(t, explain(&out, "zz", []string{name + "x"}), errUsage)
 }
--- a/cmd/gentianpond/quarantine.go
+++ b/cmd/gentianpond/quarantine.go
@@ -14,18 +14,20 @@
 
 const helpQuarantine = `List, clear or pin the fingerprints of requests that crash backend servers.
 
-A pinned fingerprint is refused until it is cleared.`
+A pinned fingerprint is refused until it is cleared. Requests to an archive are pinned with
+--archive, requests on a route of a relay with --service.`
 
 func newQuarantineCommand() command {
 	sub := newSubcommand("quarantine", helpQuarantine)
 	var control controlHosts
-	var fingerprint, archive string
+	var fingerprint, archive, service string
 	action := "list"
 	author := currentUserName()
 	control.addFlags(sub)
 	sub.AddPositionalValue(&action, "action", 1, false, "list, clear or pin.")
 	sub.AddPositionalValue(&fingerprint, "fingerprint", 2, false, "Fingerprint, hexadecimal.")
 	sub.String(&archive, "r", "archive", "Archive of a pinned fingerprint.")
+	sub.String(&service, "v", "service", "Backend service of a pinned fingerprint on a route.")
 	sub.String(&author, "a", "author", "Who makes the change.")
 	return command{sub: sub, run: func(ctx context.Context) error {
 		r := &messenger.ReleaseRequest{Action: action, Archive: archive, Author: author}
@@ -36,16 +38,22 @@
 			}
 			r.Fingerprint = n
 		}
-		if err := checkQuarantineArguments(action, fingerprint); err != nil {
+		if err := checkQuarantineArguments(action, fingerprint, archive, service); err != nil {
 			return err
 		}
+		if action == "pin" && service != "" {
+			r.Action, r.Archive = "pinroute", service
+		}
 		return control.runQuarantineAction(ctx, r)
 	}}
 }
 
-// checkQuarantineArguments returns errUsage for an unknown action and for a change
-// without a fingerprint, which would pin or clear fingerprint 0.
-func checkQuarantineArguments(action, fingerprint string) error {
+// checkQuarantineArguments returns errUsage for an unknown action, for a change without a
+// fingerprint, which would pin or clear fingerprint 0, and for an archive beside a service.
+func checkQuarantineArguments(action, fingerprint, archive, service string) error {
+	if archive != "" && service != "" {
+		return errors.Wrap(errUsage, "a request goes to an archive or to a service")
+	}
 	switch action {
 	case "list":
 		return nil
@@ -75,7 +83,11 @@
 		if s.GetPinned() {
 			until = "cleared"
 		}
-		fmt.Printf("%016x archive %s %s crashes %d until %s\n", s.GetFingerprint(), s.GetArchive(),
+		target := "archive"
+		if s.GetRoute() {
+			target = "service"
+		}
+		fmt.Printf("%016x %s %s %s crashes %d until %s\n", s.GetFingerprint(), target, s.GetArchive(),
 			quarantiner.State(s.GetState()), s.GetCrashes(), until)
 	}
 	if len(reply.GetSuspects()) == 0 {
--- a/cmd/gentianpond/status.go
+++ b/cmd/gentianpond/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/protocol/messenger"
 )
 
@@ -59,6 +60,10 @@
 	for _, m := range r.GetLimits() {
 		fmt.Printf("  rate limit %s: %g requests a second for all entry hosts, named %s ago\n", m.GetServer(), m.GetRate(), m.GetAge().AsDuration())
 	}
+	for _, s := range r.GetSuspects() {
+		fmt.Printf("  request %016x of service %s: %s, crashed %d servers\n", s.GetFingerprint(), s.GetArchive(),
+			quarantiner.State(s.GetState()), s.GetCrashes())
+	}
 	for _, text := range r.GetRepairs() {
 		fmt.Println("  repair:", text)
 	}
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -269,7 +269,7 @@
 }
 
 // addEntryStatuses adds to reply what only the leader knows: whether the view is
-// settled, the state of each entry host in it, and the current repair.
+// settled, the state of each entry host in it, rate limits, suspicions and the current repair.
 func (l *loop) addEntryStatuses(reply *messenger.StatusReply, view *messenger.View) {
 	reply.Settled = l.entryHosts.isSettled(view)
 	for _, m := range view.GetMembers() {
@@ -284,6 +284,7 @@
 			reply.Limits = append(reply.Limits, m)
 		}
 	}
+	reply.Suspects = l.keeper.RouteSuspicions()
 	if l.repairReason != "" {
 		reply.Repairs = []string{l.repairReason}
 	}
--- a/internal/control/server/suspects.go
+++ b/internal/control/server/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -49,10 +50,10 @@
 	return &suspectTracker{lastChange: 1, current: map[uint64]trackedSuspicion{}}
 }
 
-// update compares the list at a revision with the one before.
-func (t *suspectTracker) update(revision uint64, list func() []*messenger.Suspicion) {
+// update compares the list at a revision with the one before and returns what changed.
+func (t *suspectTracker) update(revision uint64, list func() []*messenger.Suspicion) (changed []*messenger.Suspicion) {
 	if revision == t.revision {
-		return
+		return nil
 	}
 	t.revision = revision
 	seen := make(map[uint64]struct{}, len(t.current))
@@ -61,6 +62,7 @@
 		if old, ok := t.current[s.GetFingerprint()]; !ok || !proto.Equal(old.suspicion, s) {
 			t.lastChange++
 			t.current[s.GetFingerprint()] = trackedSuspicion{suspicion: s, change: t.lastChange}
+			changed = append(changed, s)
 		}
 	}
 	for fingerprint := range t.current {
@@ -68,12 +70,22 @@
 			t.lastChange++
 			delete(t.current, fingerprint)
 			t.cleared = append(t.cleared, clearedSuspicion{fingerprint: fingerprint, change: t.lastChange})
+			changed = append(changed, &messenger.Suspicion{Fingerprint: fingerprint})
 		}
 	}
 	if n := len(t.cleared) - maxClearedSuspicions; n > 0 {
 		t.forgotten = t.cleared[n-1].change
 		t.cleared = slices.Delete(t.cleared, 0, n)
 	}
+	return changed
+}
+
+// trackSuspects numbers and logs the changes of the suspicions against requests on routes.
+func (l *loop) trackSuspects() {
+	for _, s := range l.suspects.update(l.keeper.RouteRevision(), l.keeper.RouteSuspicions) {
+		l.log.Info("suspicion against a request changed", "fingerprint", fmt.Sprintf("%016x", s.GetFingerprint()), "state", quarantiner.State(s.GetState()),
+			"service", s.GetArchive(), "server", s.GetServer(), "crashes", s.GetCrashes(), "rounds", s.GetRounds())
+	}
 }
 
 // changesSince returns the suspicions that changed after the change with the given number,
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -61,7 +61,7 @@
 	}
 	l.nextWatchCheck = now + max(minWatchInterval, time.Duration(len(l.watchingHosts.hosts))*watchIntervalPerHost)
 	leads, leader := l.isLeader(), l.leaderAddress()
-	l.suspects.update(l.keeper.RouteRevision(), l.keeper.RouteSuspicions)
+	l.trackSuspects()
 	kept := l.heldWatches[:0]
 	for _, w := range l.heldWatches {
 		switch {
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -51,6 +51,7 @@
 // fakeServer is a backend server that answers with handler, or with partHandler while
 // handler is nil. The handler may be changed between requests.
 type fakeServer struct {
+	listener net.Listener
 	server   registrar.Server
 	requests atomic.Int64
 	handler  atomic.Pointer[http.HandlerFunc]
@@ -70,6 +71,7 @@
 		partHandler(name)(w, r)
 	}))
 	t.Cleanup(s.Close)
+	b.listener = s.Listener
 	address := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 	b.server = registrar.Server{Name: name, Service: service, Address: address, Zone: "z", Slots: 4, Incarnation: 1, Sequence: 1}
 	return b
