relayer: end the wait of a suspected request with its client; no write to the deadline while sends read it

Found by reading the diff: a request whose client left while it was held went on to a trial, and the end of a planned stop changed a field that sends in flight read (a data race; the race detector had not run on that path). A wait now ends in one place, by time or with the request's context. TestEndsBySize prints how many servers end at each number of hosts and each width.

--- a/internal/guard/quarantiner/fleet_test.go
+++ b/internal/guard/quarantiner/fleet_test.go
@@ -409,6 +409,26 @@
 	}
 }
 
+// TestEndsBySize guards against more late sends in some size of the fleet; with -v it prints
+// how many servers end for each size, with a copy of the request every 300 ms on average.
+func TestEndsBySize(t *testing.T) {
+	for _, hosts := range []int{3, 9, 54, 191} {
+		for _, services := range []int{1, 4, 42} {
+			var sum, most, soon, late int
+			for seed := range *fleetSeeds {
+				f := newFleet(rand.New(rand.NewPCG(seed, 2)), hosts, services)
+				f.every(300*time.Millisecond, func() { f.arrive(crashing, services) })
+				f.runFor(20 * time.Second)
+				sum += len(f.ends)
+				most, soon, late = max(most, len(f.ends)), max(soon, f.later(time.Second)), max(late, f.later(4*time.Second))
+			}
+			t.Logf("%3d hosts, %2d shards: %.1f servers ended on average, %d at most; sends later than 1 s after the third end: at most %d, than 4 s: %d",
+				hosts, services, float64(sum)/float64(*fleetSeeds), most, soon, late)
+			require.LessOrEqual(t, late, 3)
+		}
+	}
+}
+
 // TestWithoutLeader guards against ends without bound while hosts cannot share what they
 // observe: each start of a host costs at most one end of each shard and two more.
 func TestWithoutLeader(t *testing.T) {
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -110,9 +110,9 @@
 }
 
 // refuseLimited refuses a request because of rate limits or of servers that want no
-// requests for a time. It may return when as many of
-// the services as are missing have room. If this host has no share of their
-// limits, another one may take the request at any time. The caller holds the lock.
+// requests for a time. It may return when as many of the services as are missing have
+// room. If this host has no share of their limits, another one may take the request at any
+// time. The caller holds the lock.
 func (q *query) refuseLimited(now time.Time, services []string, missing int) Answer {
 	r := q.relayer
 	type wait struct {
--- a/internal/route/relayer/final_answer.go
+++ b/internal/route/relayer/final_answer.go
@@ -44,7 +44,7 @@
 		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
 	}
 	switch {
-	case ran && (ctx.Err() != nil || !time.Now().Before(q.deadline)):
+	case ran && (q.stopped || ctx.Err() != nil || !time.Now().Before(q.deadline)):
 		return Answer{Reason: TimedOut}
 	case ran:
 		return Answer{Reason: Broken}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -109,6 +109,8 @@
 	counted  bool
 	// delegated is set if another host answered the request.
 	delegated bool
+	// stopped is set if a planned stop ended the request.
+	stopped bool
 	// trial is the isolated run of a suspected request.
 	trial trial
 }
@@ -285,7 +287,7 @@
 			if q.partCount >= q.plan.MinParts {
 				return q.mergedAnswer()
 			}
-			q.deadline = time.Now()
+			q.stopped = true
 			return q.giveUp(ctx, cancelSends)
 		}
 	}
--- a/internal/route/relayer/suspect.go
+++ b/internal/route/relayer/suspect.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/search/caller"
 )
@@ -41,29 +43,21 @@
 	until   time.Time
 }
 
-// awaitStep decides whether a request may run, and waits for that as long as it is worth.
+// awaitStep decides whether a request may run, and waits for that until waitEnd or until ctx
+// ends.
 func (q *query) awaitStep(ctx context.Context) (quarantiner.Step, quarantiner.Suspicion) {
-	step, s := q.nextStep()
-	if step != quarantiner.StepWait {
-		return step, s
-	}
-	ctx, cancel := context.WithDeadline(ctx, q.waitEnd())
-	defer cancel()
-	ticker := time.NewTicker(suspectPollInterval)
-	defer ticker.Stop()
-	for step == quarantiner.StepWait {
+	until := q.waitEnd()
+	for {
+		step, s := q.nextStep(until)
+		if step != quarantiner.StepWait {
+			return step, s
+		}
 		select {
 		case <-ctx.Done():
-			if s.Rounds > 0 {
-				return step, s
-			}
-			// The other copy takes long, so it does not crash its server at once.
-			return quarantiner.StepTry, s
-		case <-ticker.C:
-			step, s = q.nextStep()
+			return step, s
+		case <-time.After(suspectPollInterval):
 		}
 	}
-	return step, s
 }
 
 // waitEnd returns until when a wait that begins now lasts at most.
@@ -72,13 +66,22 @@
 	return now.Add(min(maxSuspectWait, time.Duration(suspectWaitFraction*float64(q.deadline.Sub(now)))))
 }
 
-// nextStep decides what to do with the request now. A trial counts from here on.
-func (q *query) nextStep() (quarantiner.Step, quarantiner.Suspicion) {
+// nextStep decides what to do with the request, which waits until a time at most. Then a
+// copy that takes long does not keep others waiting, because it has not crashed its server
+// at once; a request whose service can spare no server is refused. A trial counts from here
+// on.
+func (q *query) nextStep(until time.Time) (quarantiner.Step, quarantiner.Suspicion) {
 	r := q.relayer
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	step, s := r.guard.Next(now, q.fingerprint, r.routing.Load().canSpare)
+	if step == quarantiner.StepWait && !now.Before(until) {
+		step = quarantiner.StepRefuse
+		if s.Rounds <= 0 {
+			step = quarantiner.StepTry
+		}
+	}
 	if step == quarantiner.StepTry && !q.trial.begun {
 		q.trial.begun = true
 		r.guard.Begin(q.fingerprint)
@@ -107,6 +110,12 @@
 	case quarantiner.StepTry:
 		q.startTrial(s, q.shardOf(s.Archive))
 		return Answer{}
+	case quarantiner.StepWait:
+		// The wait ends early only with the request's context.
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			return Answer{Reason: Expired, RetryAfter: minRetryAfter}
+		}
+		return Answer{Reason: ClientLeft}
 	}
 	retryAfter := suspectRetryAfter
 	switch s.State {
@@ -164,13 +173,7 @@
 
 // decideTrial goes on with a request that waits for the decision of the guard.
 func (q *query) decideTrial(ctx context.Context) {
-	step, s := q.nextStep()
-	if step == quarantiner.StepWait && time.Now().After(q.trial.until) {
-		step = quarantiner.StepRefuse
-		if s.Rounds == 0 {
-			step = quarantiner.StepTry
-		}
-	}
+	step, s := q.nextStep(q.trial.until)
 	switch step {
 	case quarantiner.StepRun:
 		q.trial.waiting = false
