--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -345,8 +345,8 @@
 	}
 	switch res.status {
 	case caller.Answered:
-		if q.route.Fanout() && !q.isPart(res) {
-			q.resend(ctx, res, retrySend)
+		if !q.isAnswer(res) {
+			q.handleFailure(ctx, res)
 			return
 		}
 		s.part = &res
@@ -366,15 +366,20 @@
 		if res.status == caller.Failed {
 			s.failedResponse = res.response
 		}
-		if q.route.Kind != router.Safe {
-			q.relayer.reportSendFailure(q, res)
-			s.noMoreSends = true
-			return
-		}
-		if res.ended {
-			q.handleEnd(ctx, res)
-			return
-		}
+		q.handleFailure(ctx, res)
+	}
+}
+
+// handleFailure decides how to go on after a send that the server may have run and that
+// yielded no answer. Only a safe request is sent again.
+func (q *query) handleFailure(ctx context.Context, res sendResult) {
+	switch {
+	case q.route.Kind != router.Safe:
+		q.relayer.reportSendFailure(q, res)
+		q.shards[res.shard].noMoreSends = true
+	case res.ended:
+		q.handleEnd(ctx, res)
+	default:
 		q.resend(ctx, res, retrySend)
 	}
 }
@@ -396,10 +401,11 @@
 	}
 }
 
-// isPart reports whether an answer can be a part of a fan-out: it has a success status
-// and is signed.
-func (q *query) isPart(res sendResult) bool {
-	return res.response.Status >= 200 && res.response.Status < 300 && res.metadata.Stamp != ""
+// isAnswer reports whether a response can be the answer to the client or a part of it. A
+// success has to be signed, and a part has to be a success.
+func (q *query) isAnswer(res sendResult) bool {
+	success := res.response.Status >= 200 && res.response.Status < 300
+	return success && res.metadata.Stamp != "" || !success && !q.route.Fanout()
 }
 
 // resend sends the request to a shard again after a failed send, unless another send
