relayer: do not report a request that completes elsewhere after its server ended; ports of soak fleets by process

Found by reading: each request on a server that ended was reported and sent to all hosts, and cleared again the same way, and each host opened connections to the server. The first end under a safe request is now kept for 100 ms and dropped if the request completes meanwhile (TestInnocentIsNotReported); hosts take a server for down by such news only from the second end on. Ends in simulated fleets are as before (TestEndsBySize).

--- a/internal/guard/quarantiner/fleet_test.go
+++ b/internal/guard/quarantiner/fleet_test.go
@@ -42,6 +42,8 @@
 	guard Guard
 	// ended is set once the host has been restarted; another one is in its place.
 	ended bool
+	// kept holds observations that are not reported yet, by fingerprint.
+	kept map[uint64][]Observation
 }
 
 type fleetServer struct {
@@ -245,8 +247,11 @@
 		}
 		if s.incarnation == incarnation {
 			f.run++
-			if o, news := a.host.guard.Completed(f.now, o); news {
-				f.report(o)
+			if o, cleared := a.host.guard.Completed(f.now, o); cleared {
+				delete(a.host.kept, o.Fingerprint)
+				if a.host.guard.Shared(o.Fingerprint) {
+					f.report(o)
+				}
 			}
 			if alone && len(a.held) > 0 {
 				for _, rest := range a.held {
@@ -256,7 +261,13 @@
 			}
 			return
 		}
-		f.report(a.host.guard.Crashed(f.now, o))
+		o = a.host.guard.Crashed(f.now, o)
+		if alone {
+			f.reportKept(a.host, o.Fingerprint)
+			f.report(o)
+		} else {
+			f.keep(a.host, o)
+		}
 		if alone {
 			a.held = nil
 		} else if a.retries > 0 {
@@ -267,6 +278,26 @@
 	})
 }
 
+// keep keeps the first observation of an end, as the relayer does.
+func (f *fleet) keep(h *fleetHost, o Observation) {
+	if h.kept == nil {
+		h.kept = map[uint64][]Observation{}
+	}
+	h.kept[o.Fingerprint] = append(h.kept[o.Fingerprint], o)
+	f.after(100*time.Millisecond, func() {
+		if !h.ended {
+			f.reportKept(h, o.Fingerprint)
+		}
+	})
+}
+
+func (f *fleet) reportKept(h *fleetHost, fingerprint uint64) {
+	for _, o := range h.kept[fingerprint] {
+		f.report(o)
+	}
+	delete(h.kept, fingerprint)
+}
+
 // report sends an observation to the leader, and what changes to all hosts.
 func (f *fleet) report(o Observation) {
 	f.lastReport++
--- a/internal/guard/quarantiner/guard.go
+++ b/internal/guard/quarantiner/guard.go
@@ -90,6 +90,12 @@
 	return best
 }
 
+// Shared reports whether the control hosts sent a suspicion against a fingerprint.
+func (g *Guard) Shared(fingerprint uint64) bool {
+	_, ok := g.shared[fingerprint]
+	return ok
+}
+
 // at returns the suspicion as it is at a time: a quarantine that has expired is a
 // suspicion again.
 func (s Suspicion) at(now time.Time) Suspicion {
@@ -158,7 +164,7 @@
 }
 
 // Completed records that a server ran a request of this host to its end. It returns true if
-// the observation has to be sent to the control hosts, because the request is suspected.
+// that clears a suspicion. The observation is then for the control hosts.
 func (g *Guard) Completed(now time.Time, o Observation) (Observation, bool) {
 	s := g.Suspicion(now, o.Fingerprint)
 	g.remember(completionKey(o.Fingerprint, o.Archive), now)
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -191,6 +191,8 @@
 	limits pacer.Pacer
 	// guard decides which requests may run.
 	guard quarantiner.Guard
+	// keptReports holds observations that are not reported yet, by fingerprint.
+	keptReports map[uint64][]quarantiner.Observation
 	// links tells whether this host has lost its links to the servers.
 	links detector.Detector
 	// throttles holds the throttles by service name.
--- a/internal/route/relayer/suspect.go
+++ b/internal/route/relayer/suspect.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/guard/quarantiner"
+	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/caller"
 )
 
@@ -22,6 +23,11 @@
 	// suspectRetryAfter is the time after which a client may retry a request that its
 	// service cannot bear now.
 	suspectRetryAfter = time.Second
+	// reportDelay is how long the first end of a server under a safe request is kept before
+	// it is reported, unless a retry shows earlier that the request is the cause. Most
+	// requests that were on a server that ended complete on another one within that time,
+	// and the other hosts need not hear of them.
+	reportDelay = 100 * time.Millisecond
 	// maxEndAge is how long ago a server may have ended for this host to take it for down.
 	// It covers the time until the control hosts notice that the server is silent.
 	maxEndAge = 2 * time.Second
@@ -266,15 +272,50 @@
 	}
 	switch {
 	case res.ended:
-		r.reportObservation(r.guard.Crashed(now, o))
+		o = r.guard.Crashed(now, o)
+		if res.alone || q.route.Kind != router.Safe {
+			r.reportKept(q.fingerprint)
+			r.reportObservation(o)
+		} else {
+			r.keepReport(o)
+		}
 	case res.status == caller.Answered || res.status == caller.Failed && res.err == nil:
-		if o, news := r.guard.Completed(now, o); news {
-			r.config.Log.Info("suspected request completed", "request", q.id, "fingerprint", fingerprintText(q.fingerprint), "server", res.server.Name)
+		o, suspected := r.guard.Completed(now, o)
+		if !suspected {
+			return
+		}
+		r.config.Log.Info("suspected request completed", "request", q.id, "fingerprint", fingerprintText(q.fingerprint), "server", res.server.Name)
+		delete(r.keptReports, q.fingerprint)
+		if r.guard.Shared(q.fingerprint) {
 			r.reportObservation(o)
 		}
 	}
 }
 
+// keepReport keeps an observation for reportDelay. The caller holds the lock.
+func (r *Relayer) keepReport(o quarantiner.Observation) {
+	if r.keptReports == nil {
+		r.keptReports = map[uint64][]quarantiner.Observation{}
+	}
+	if len(r.keptReports[o.Fingerprint]) == 0 {
+		time.AfterFunc(reportDelay, func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.reportKept(o.Fingerprint)
+		})
+	}
+	r.keptReports[o.Fingerprint] = append(r.keptReports[o.Fingerprint], o)
+}
+
+// reportKept reports the observations of a request that were kept. The caller holds the
+// lock.
+func (r *Relayer) reportKept(fingerprint uint64) {
+	for _, o := range r.keptReports[fingerprint] {
+		r.reportObservation(o)
+	}
+	delete(r.keptReports, fingerprint)
+}
+
 // reportObservation passes an observation on to the control hosts.
 func (r *Relayer) reportObservation(o quarantiner.Observation) {
 	if r.config.Observe != nil && !r.config.Observe(o) {
@@ -296,7 +337,8 @@
 	for _, s := range list {
 		r.config.Log.Info("suspicion changed", "fingerprint", fingerprintText(s.Fingerprint), "state", s.State, "service", s.Archive,
 			"crashes", s.Crashes, "rounds", s.Rounds, "server", s.Server, "age", now.Sub(s.LastCrash), "left", s.Expiry.Sub(now))
-		if s.State != quarantiner.StateSuspect && s.State != quarantiner.StateQuarantined || now.Sub(s.LastCrash) > maxEndAge {
+		// Whether a service can spare a server matters from the second end on.
+		if s.Rounds <= 0 || now.Sub(s.LastCrash) > maxEndAge {
 			continue
 		}
 		for _, p := range append([]quarantiner.Process{{Server: s.Server, Incarnation: s.Incarnation}}, s.Before...) {
--- a/internal/route/relayer/suspect_test.go
+++ b/internal/route/relayer/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +110,33 @@
 	group.Wait()
 }
 
+// TestInnocentIsNotReported guards against control hosts and other hosts that hear of each
+// request that was on a server when that ended: one that completes on another server is
+// not the cause.
+func TestInnocentIsNotReported(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Safe)}, map[string][]string{"s": {"a", "b"}})
+	var reports atomic.Int64
+	env.relayer.config.Observe = func(quarantiner.Observation) bool {
+		reports.Add(1)
+		return true
+	}
+	var ended atomic.Bool
+	for name, s := range env.servers {
+		s.setHandler(func(w http.ResponseWriter, r *http.Request) {
+			if ended.CompareAndSwap(false, true) {
+				_ = s.listener.Close()
+				panic(http.ErrAbortHandler)
+			}
+			partHandler(name)(w, r)
+		})
+	}
+	require.Equal(t, Served, env.get(t, "/x").Reason)
+	require.True(t, ended.Load())
+	time.Sleep(2 * reportDelay)
+	require.Zero(t, reports.Load())
+	require.Equal(t, quarantiner.StateClear, env.relayer.guard.Suspicion(time.Now(), suspicionOf("/x", "", 0, 0).Fingerprint).State)
+}
+
 // TestCrashedServer guards against a safe request that is sent to all servers of a service
 // one after the other while each ends under it, and against equal requests that follow it.
 func TestCrashedServer(t *testing.T) {
--- a/test/soak/crash_test.go
+++ b/test/soak/crash_test.go
@@ -92,7 +92,7 @@
 		{"search of nine hosts", 9, sendSearch, sendSearch},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := startFleet(t, 9000+20*i, c.hosts)
+			f := startFleet(t, uint64(i), c.hosts)
 			r := f.runCrashes(t, c.send, c.other, 12*time.Second)
 			share := float64(r.served) / float64(r.others)
 			t.Logf("%d servers ended, %d of them later than 1 s after the third, %d later than %s; %d of %d other requests served (%.3f)",
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -14,8 +14,12 @@
 	"gentianpond/test/standin"
 )
 
-// fleetReplicas is the number of servers of each service of a processFleet.
-const fleetReplicas = 3
+const (
+	// fleetReplicas is the number of servers of each service of a processFleet.
+	fleetReplicas = 3
+	// fleetNetwork is the third number of its loopback addresses.
+	fleetNetwork = 20
+)
 
 // processFleet is a system whose backend servers end when they run a certain request and
 // are replaced after crashRestart.
@@ -34,10 +38,11 @@
 }
 
 // startFleet starts control hosts, entry hosts and fleetReplicas servers of each
-// service, and waits until the entry hosts are ready.
-func startFleet(t *testing.T, port, hosts int) *processFleet {
+// service, and waits until the entry hosts are ready. Fleets that run at the same time need
+// different numbers.
+func startFleet(t *testing.T, number uint64, hosts int) *processFleet {
 	binary, root := build(t)
-	system, err := standin.Start(binary, root, 20, port, members, hosts)
+	system, err := standin.Start(binary, root, fleetNetwork, firstPort(number), members, hosts)
 	f := &processFleet{system: system, services: map[string]string{}}
 	t.Cleanup(f.close)
 	require.NoError(t, err)
--- a/test/soak/harmless_test.go
+++ b/test/soak/harmless_test.go
@@ -52,7 +52,7 @@
 // time, that is in flight at every host while servers end for other reasons: one, all of a
 // service at once and in a row, one of each service, and one after the other.
 func TestHarmlessRequestIsServed(t *testing.T) {
-	f := startFleet(t, 9240, 3)
+	f := startFleet(t, 12, 3)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	count := func(o standin.Outcome) {
--- a/test/soak/notice_test.go
+++ b/test/soak/notice_test.go
@@ -62,7 +62,7 @@
 // TestLeavingServerGetsNothing guards against requests to a server that says in its answers
 // that it is about to stop, while it goes on checking in as ready.
 func TestLeavingServerGetsNothing(t *testing.T) {
-	f := startFleet(t, 9200, 3)
+	f := startFleet(t, 10, 3)
 	stop := f.runLoad(t)
 	leaving := f.serversOf(standin.OrderService)[0]
 	leaving.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, Leaving: true})
@@ -78,7 +78,7 @@
 // and against callers that wait until their deadline passes meanwhile.
 func TestPausedServersGetNothing(t *testing.T) {
 	const hosts = 3
-	f := startFleet(t, 9220, hosts)
+	f := startFleet(t, 11, hosts)
 	services := []string{standin.OrderService, standin.ShardServices[0]}
 	for _, service := range services {
 		for _, b := range f.serversOf(service) {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -129,8 +129,7 @@
 		services: map[string]string{}, outcomes: map[string]clientResult{},
 	}
 	network := byte(30 + seed%200)
-	port := 10000 + int((seed*13+uint64(os.Getpid()))%5000)*4
-	system, err := standin.Start(binary, folder, network, port, members, relays)
+	system, err := standin.Start(binary, folder, network, firstPort(seed), members, relays)
 	s.system = system
 	if err != nil {
 		system.Stop()
@@ -150,6 +149,10 @@
 	return s, nil
 }
 
+// firstPort returns the first of the four ports of a system. It differs between processes,
+// so that systems of several runs at the same time do not reach each other.
+func firstPort(number uint64) int { return 10000 + int((number*13+uint64(os.Getpid()))%5000)*4 }
+
 // runUnderFaults runs clients and the operator for the given length and injects
 // faults at the same time. It returns when all of them have ended.
 func (s *soak) runUnderFaults(length time.Duration) {
