TestStopRefusesLateRequests: a server that takes requests and does not answer

The test passed without the refusal that it guards: its server address refused connections, so that the request was refused anyway.

--- a/internal/host/forwarder/stop_test.go
+++ b/internal/host/forwarder/stop_test.go
@@ -134,8 +134,12 @@
 		Targets: []router.Target{{Service: "s", Weight: 1}}}
 	table, err := router.New(1, []router.Route{route}, []router.Service{{Name: "s"}}, router.Limits{})
 	require.NoError(t, err)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	go serveBackend(l, true)
 	r := relayer.New(relayer.Config{Codec: platform.Codec{}, Log: log.New(io.Discard), Scope: tally.NoopScope})
-	r.Update(t.Context(), table, []registrar.Server{{Name: "a", Service: "s", Incarnation: 1, Slots: 1, Address: freeAddress(t)}}, pacer.Position{Count: 1})
+	r.Update(t.Context(), table, []registrar.Server{{Name: "a", Service: "s", Incarnation: 1, Slots: 1, Address: l.Addr().(*net.TCPAddr).AddrPort()}}, pacer.Position{Count: 1})
 	r.StopAt(time.Now().Add(300 * time.Millisecond))
 	start := time.Now()
 	a := r.Do(t.Context(), relayer.Request{ID: "1", Method: http.MethodPost, Host: "h", Target: "/x", Path: "/x", Received: start})
