relayer: each send asks at its last moment whether its server is still in use

Cause: a request kept the routing state of its arrival, for up to 10 s. Hedges, retries and reroutes chose from it, and sends that waited for a connection did not ask again. An update makes a new value of a server with flags of its own, so that what the server said of itself afterwards was unknown to the others.

Change: servers are chosen from the current state; a send asks once more when it has its connection (late.go); who waits for a connection is woken when the server is taken out; all states of one incarnation share what the host observed. The same place asks for pauses, rate limits after a wait of 250 ms, and suspicions that came while the request was under way.

--- a/internal/backend/connector/connector.go
+++ b/internal/backend/connector/connector.go
@@ -47,7 +47,8 @@
 var (
 	// ErrUnsent means that no byte of the request was sent to the server.
 	ErrUnsent = errors.New("request was not sent")
-	// ErrWithheld means that Request.MaySend returned false. It is joined with ErrUnsent.
+	// ErrWithheld means that Request.MayWait or Request.MaySend returned false. It is
+	// joined with ErrUnsent.
 	ErrWithheld = errors.New("request was withheld")
 	// ErrBroken means that after at least part of the request was sent the
 	// connection closed or carried something that is not a complete response. The
@@ -72,8 +73,10 @@
 	// depend on the time, such as the remaining time, because a request may wait
 	// for a connection. It may be nil.
 	BeforeSend func(http.Header)
-	// MaySend is called before BeforeSend, once there is a connection. If it returns false, the request is
-	// not sent. It may be nil.
+	// MayWait is called before each wait for a connection, MaySend immediately before
+	// BeforeSend, once there is one. If they return false, the request is not sent. They
+	// may be nil.
+	MayWait func() bool
 	MaySend func() bool
 	// MatchesResponse reports whether a response with these headers belongs to this
 	// request. Servers may repeat the response to an earlier request; it is skipped
@@ -298,10 +301,10 @@
 // connection, so that the server learns that the request was cancelled. Errors
 // wrap ErrUnsent or ErrBroken.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx)
+	c, err := p.acquire(ctx, r.MayWait)
 	for err == nil && r.Exclusive && c.used {
 		p.discard(c)
-		c, err = p.acquire(ctx)
+		c, err = p.acquire(ctx, r.MayWait)
 	}
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
@@ -331,9 +334,13 @@
 }
 
 // acquire returns a connection for exclusive use: an idle one, a new one while
-// the pool is below its limit, or else the next one that becomes free.
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+// the pool is below its limit, or else the next one that becomes free. mayWait may be
+// nil.
+func (p *Pool) acquire(ctx context.Context, mayWait func() bool) (*conn, error) {
 	for {
+		if mayWait != nil && !mayWait() {
+			return nil, ErrWithheld
+		}
 		c, wait, err := p.takeOrReserve()
 		switch {
 		case err != nil:
@@ -448,6 +455,15 @@
 	}
 }
 
+// WakeWaiting makes all requests that wait for a connection call MayWait again.
+func (p *Pool) WakeWaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.waiters) > 0 {
+		p.wakeFirst()
+	}
+}
+
 // wakeFirst lets the first waiter call takeOrReserve again. The caller holds mu.
 func (p *Pool) wakeFirst() {
 	if len(p.waiters) > 0 {
--- a/internal/control/replicator/replacement_test.go
+++ b/internal/control/replicator/replacement_test.go
@@ -76,12 +76,13 @@
 }
 
 // add starts a host with an empty data folder.
-func (s *hostSchedule) add() {
+func (s *hostSchedule) add() *host {
 	s.created++
 	s.nextID++
 	h := &host{name: fmt.Sprintf("n%d", s.created), disk: disk{id: s.nextID}, writesBeforeCrash: -1}
 	s.hosts = append(s.hosts, h)
 	s.startHost(h)
+	return h
 }
 
 // end removes a host for good.
@@ -133,13 +134,20 @@
 
 // lose takes the disk of a host away. The host is back with an empty data folder.
 func (s *hostSchedule) lose(h *host) {
+	s.lost[h] = true
+	s.restartEmpty(h, s.draw("down", maxDownTime), h)
+}
+
+// restartEmpty crashes a host, which is back with an empty data folder after down. The host
+// counted counts as lost until it has been up for newHostTime.
+func (s *hostSchedule) restartEmpty(h *host, down time.Duration, counted *host) {
+	s.eventCounts["disk lost"]++
 	s.crash(h)
 	s.nextID++
 	h.disk = disk{id: s.nextID}
-	s.lost[h] = true
-	s.after(s.draw("down", maxDownTime), func() {
+	s.after(down, func() {
 		s.startHost(h)
-		s.after(newHostTime, func() { delete(s.lost, h) })
+		s.after(newHostTime, func() { delete(s.lost, counted) })
 	})
 }
 
@@ -148,7 +156,8 @@
 	return time.Duration(rapid.IntRange(0, int(limit/simTick)).Draw(s.t, label)) * simTick
 }
 
-// events returns what may happen next. Only the planned replacement of a host whose
+// events returns what may happen next. The successor of a host that failed may itself be
+// lost while that host still counts as lost. Only the planned replacement of a host whose
 // successor has been up for newHostTime may meet the loss of another host.
 func (s *hostSchedule) events() map[string]func() {
 	events := map[string]func(){
@@ -175,8 +184,14 @@
 			s.eventCounts["failed host"]++
 			s.end(h)
 			s.lost[h] = true
+			again := rapid.Bool().Draw(s.t, "again")
+			lifetime := s.draw("lifetime", newHostTime)
 			s.after(s.draw("late", maxDownTime), func() {
-				s.add()
+				successor := s.add()
+				if again {
+					s.after(lifetime, func() { s.restartEmpty(successor, 0, h) })
+					return
+				}
 				s.after(newHostTime, func() { delete(s.lost, h) })
 			})
 		}
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -32,14 +32,14 @@
 	var limitedServices []string
 	for i := range q.shards {
 		s := &q.shards[i]
-		share := r.throttle(s.service).SentShare(q.route.Priority, q.routing.table.PriorityCount())
+		share := r.throttle(s.service).SentShare(q.route.Priority, q.table.PriorityCount())
 		if share < 1 && r.rand.Float64() >= share {
 			s.noMoreSends = true
 			q.congestedShards++
 			sent--
 			continue
 		}
-		switch r.availabilityOf(now, q.routing, s.service) {
+		switch r.availabilityOf(now, r.routing.Load(), s.service) {
 		case available:
 			open++
 		case limited:
@@ -115,6 +115,7 @@
 // time. The caller holds the lock.
 func (q *query) refuseLimited(now time.Time, services []string, missing int) Answer {
 	r := q.relayer
+	routing := r.routing.Load()
 	type wait struct {
 		server string
 		until  time.Time
@@ -122,9 +123,9 @@
 	var waits []wait
 	for _, service := range services {
 		var next wait
-		for _, name := range q.routing.services[service].ready {
-			at, ok := r.nextRoom(now, q.routing.servers[name])
-			if ok && q.routing.servers[name].reachable() && (next.server == "" || at.Before(next.until)) {
+		for _, name := range routing.services[service].ready {
+			at, ok := r.nextRoom(now, routing.servers[name])
+			if ok && routing.servers[name].reachable() && (next.server == "" || at.Before(next.until)) {
 				next = wait{server: name, until: at}
 			}
 		}
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -53,7 +53,9 @@
 		q.relayer.config.Codec.Encode(h, q.id, time.Until(q.deadline), s.Name)
 	}
 	request.MatchesResponse = func(h http.Header) bool { return q.relayer.config.Codec.RequestID(h) == q.id }
-	request.MaySend = func() bool { return s.wantsRequests(time.Now()) }
+	paced := start
+	request.MayWait = func() bool { return q.relayer.accepts(time.Now(), s) }
+	request.MaySend = func() bool { return q.maySend(time.Now(), &r, &paced) }
 	response, err := s.pool.Do(ctx, &request)
 	r.response, r.err, r.arrivedAt = response, err, time.Now()
 	r.latency = r.arrivedAt.Sub(start)
@@ -77,7 +79,7 @@
 // the given id.
 func classify(ctx context.Context, id string, r sendResult) caller.Status {
 	switch {
-	case errors.Is(r.err, connector.ErrUnsent) && ctx.Err() != nil, errors.Is(r.err, connector.ErrWithheld):
+	case errors.Is(r.err, connector.ErrUnsent) && ctx.Err() != nil, errors.Is(r.err, connector.ErrWithheld), errors.Is(r.err, connector.ErrClosed):
 		return caller.Refused
 	case errors.Is(r.err, connector.ErrUnsent):
 		return caller.Unsent
@@ -119,7 +121,7 @@
 	r.observeLinks(now, res)
 	r.observeRun(now, q, res)
 	if signal, ok := q.loadSignal(now, res); ok {
-		congested := signal.Congested() && r.othersCongested(now, q.routing, res.server)
+		congested := signal.Congested() && r.othersCongested(now, r.routing.Load(), res.server)
 		r.throttle(res.server.Service).Observe(now, now.Add(-res.latency), congested)
 	}
 	switch res.status {
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -30,6 +30,9 @@
 		if !q.hedgeable(s) || now.Before(s.hedgeDue(delay)) {
 			continue
 		}
+		if !q.mayRun() {
+			return
+		}
 		s.hedged = q.sendToShard(ctx, i, hedgeSend)
 		s.hedgeRetryAt = now.Add(hedgeRetryDelay)
 	}
@@ -92,7 +95,7 @@
 	if cause == firstSend && !q.counted {
 		budget.AddEvent()
 	}
-	target, withheld := r.pickServer(now, q.routing, s.service, s.triedServers)
+	target, withheld := r.pickServer(now, r.routing.Load(), s.service, s.triedServers)
 	if withheld > 0 && s.hedgeRetryAt.IsZero() {
 		r.countWithheld(cause, withheld)
 	}
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -65,7 +65,7 @@
 		return q.unreachableShards > 0
 	case Shed:
 		return !q.received && slices.ContainsFunc(q.shards, func(s shardState) bool {
-			return s.noMoreSends && len(q.routing.services[s.service].ready) > 0
+			return s.noMoreSends && len(q.relayer.routing.Load().services[s.service].ready) > 0
 		})
 	}
 	return false
@@ -79,7 +79,7 @@
 		return Answer{}, false
 	}
 	r := *request
-	r.Table, r.Counted = q.routing.table.Version, q.counted
+	r.Table, r.Counted = q.table.Version, q.counted
 	r.Deadline = q.deadline
 	r.TransitTime = cmp.Or(r.TransitTime, q.relayer.config.TransitTime) + hopTime
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/internal/route/relayer/down.go
+++ b/internal/route/relayer/down.go
@@ -35,7 +35,7 @@
 				return
 			case <-timer.C:
 			}
-			if r.routing.Load().servers[s.Name] != s {
+			if current := r.routing.Load().servers[s.Name]; current == nil || current.endpoint != s.endpoint {
 				return
 			}
 			err := s.pool.Connect(ctx)
--- a/internal/route/relayer/final_answer.go
+++ b/internal/route/relayer/final_answer.go
@@ -64,7 +64,7 @@
 	var wait time.Duration
 	for i := range q.shards {
 		if s := &q.shards[i]; s.part == nil {
-			wait = max(wait, q.routing.pauseOf(now, s.service))
+			wait = max(wait, q.relayer.routing.Load().pauseOf(now, s.service))
 		}
 	}
 	return wait + r.jitter()
--- a/internal/route/relayer/notice.go
+++ b/internal/route/relayer/notice.go
@@ -17,6 +17,7 @@
 	if m.Leaving && s.leaving.CompareAndSwap(false, true) {
 		r.config.Scope.Counter("servers_leaving").Inc(1)
 		r.config.Log.Info("backend server is leaving", "server", s.Name, "service", s.Service, "incarnation", s.Incarnation, "request", id)
+		s.pool.WakeWaiting()
 		if r.config.ReportLeaving != nil {
 			r.config.ReportLeaving(s.Name, s.Incarnation)
 		}
@@ -29,15 +30,11 @@
 		return
 	}
 	s.pausedUntil.Store(&until)
+	s.pool.WakeWaiting()
 	r.config.Scope.Counter("server_pauses").Inc(1)
 	r.config.Log.Info("backend server wants no requests for a time", "server", s.Name, "service", s.Service, "pause", m.RetryAfter, "request", id)
 }
 
-// wantsRequests reports whether the server has neither said that it is about to stop nor
-// that it wants no requests for a time. A request may have waited for a connection since
-// the server was chosen.
-func (s *server) wantsRequests(now time.Time) bool { return !s.leaving.Load() && s.pause(now) == 0 }
-
 // pause returns how long the server wants no more requests.
 func (s *server) pause(now time.Time) time.Duration {
 	until := s.pausedUntil.Load()
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -73,9 +73,10 @@
 	fingerprint uint64
 	// route is the route that the request matched in the routing table.
 	route *router.Route
-	// routing is the routing state when the request arrived. It is used until the
-	// final answer.
-	routing *routingState
+	// table is the routing table when the request arrived. It is used until the final
+	// answer, so that all parts belong to the shards of one table. The servers are those
+	// of the current routing state; see late.go.
+	table *router.Table
 	// plan tells when to answer with the parts that have arrived. A request that is not
 	// a fan-out has a plan for a single part.
 	plan gatherer.Plan
@@ -176,7 +177,7 @@
 	if !time.Now().Before(deadline) {
 		return r.Refuse(&request, Expired)
 	}
-	q := r.newQuery(routing, route, &request, deadline)
+	q := r.newQuery(routing.table, route, &request, deadline)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer q.endTrial()
@@ -191,7 +192,7 @@
 
 // newQuery returns the query for a request to a route. deadline is when its final
 // answer is sent at the latest.
-func (r *Relayer) newQuery(routing *routingState, route *router.Route, request *Request, deadline time.Time) *query {
+func (r *Relayer) newQuery(table *router.Table, route *router.Route, request *Request, deadline time.Time) *query {
 	services := route.Shards
 	if !route.Fanout() {
 		services = []string{route.PickService()}
@@ -207,7 +208,7 @@
 		fingerprint: request.fingerprint(),
 		counted:     request.Counted,
 		route:       route,
-		routing:     routing,
+		table:       table,
 		deadline:    deadline,
 		shards:      make([]shardState, len(services)),
 		results:     make(chan sendResult, len(services)*maxSendsPerShard),
@@ -420,6 +421,10 @@
 		q.hold(res.shard, cause)
 		return
 	}
+	if q.maySendAgain(ctx, s) && !q.mayRun() {
+		q.holdForTrial(res.shard, cause)
+		return
+	}
 	q.sendAgain(ctx, res.shard, cause)
 }
 
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -265,6 +265,11 @@
 	}
 	r.updateLinks(next)
 	r.routing.Store(next)
+	for name, s := range next.servers {
+		if before := old.servers[name]; before != nil && before.isInUse() && !s.isInUse() {
+			s.pool.WakeWaiting()
+		}
+	}
 }
 
 // StopAt begins a planned stop: at the given time, requests that are still in flight get
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -31,7 +31,7 @@
 	r.config.Log.Warn("request late, incomplete or failed", "request", q.id, "route", q.route.Name, "reason", a.Reason, "status", a.Status,
 		"took", took, "objective", q.route.Objective, "late", late, "missing", a.MissingParts, "shards", len(q.shards),
 		"out", q.congestedShards, "limited", q.limitedShards, "delegated", q.delegated,
-		"hedges", q.hedgeCount, "retries", q.retryCount, "table", q.routing.table.Version, "control", r.controlAge())
+		"hedges", q.hedgeCount, "retries", q.retryCount, "table", q.table.Version, "control", r.controlAge())
 }
 
 // Refuse logs and counts a request that ends before a route was chosen for it,
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -38,9 +38,16 @@
 	return &routingState{table: table, servers: map[string]*server{}, services: map[string]serviceServers{}}
 }
 
-// server is one incarnation of a backend server with its connections.
+// server is one incarnation of a backend server as one state of the registry describes
+// it. Its fields do not change; later states have other values with the same endpoint.
 type server struct {
 	registrar.Server
+	*endpoint
+}
+
+// endpoint holds this host's connections to one incarnation of a backend server and what
+// the host has observed of it.
+type endpoint struct {
 	// pool holds this host's connections to the server.
 	pool *connector.Pool
 	// misdirected is set once another server has answered at the address.
@@ -60,13 +67,9 @@
 	return !s.misdirected.Load() && !s.down.Load() && !s.leaving.Load()
 }
 
-// copyObserved copies what this host has observed of the server from an earlier value for
-// the same incarnation, except whether it is down.
-func (s *server) copyObserved(earlier *server) {
-	s.misdirected.Store(earlier.misdirected.Load())
-	s.load.Store(earlier.load.Load())
-	s.leaving.Store(earlier.leaving.Load())
-	s.pausedUntil.Store(earlier.pausedUntil.Load())
+// isInUse reports whether requests may be sent to a server in its state of the registry.
+func (s *server) isInUse() bool {
+	return s.State == registrar.Ready || s.State == registrar.Silent
 }
 
 // reportedLoad is a load with the time at which this host received it.
@@ -86,7 +89,7 @@
 func (r *Relayer) othersCongested(now time.Time, state *routingState, except *server) bool {
 	for _, name := range state.services[except.Service].ready {
 		s := state.servers[name]
-		if s == except || !s.reachable() || !r.hasRoom(now, s) {
+		if s.endpoint == except.endpoint || !s.reachable() || !r.hasRoom(now, s) {
 			continue
 		}
 		l := s.load.Load()
@@ -136,12 +139,7 @@
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
 		r.selector.Resize(s.Name, maxConcurrent(s, limit))
 		if current.State != s.State || current.Slots != s.Slots {
-			changed := &server{Server: s, pool: current.pool}
-			changed.copyObserved(current)
-			if current.down.Load() {
-				r.markDown(ctx, changed)
-			}
-			current = changed
+			current = &server{Server: s, endpoint: current.endpoint}
 		}
 	} else {
 		if ok {
@@ -150,7 +148,7 @@
 				r.limits.Remove(s.Name)
 			}
 		}
-		current = &server{Server: s, pool: r.newPool(s.Address, limit)}
+		current = &server{Server: s, endpoint: &endpoint{pool: r.newPool(s.Address, limit)}}
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
 		r.selector.Update(selectorServer(s, limit))
 		if s.Zone == r.config.Zone && s.State == registrar.Ready {
--- a/internal/route/relayer/suspect.go
+++ b/internal/route/relayer/suspect.go
@@ -170,10 +170,16 @@
 	case !q.maySendAgain(ctx, s):
 		s.noMoreSends = true
 	default:
-		q.hold(res.shard, retrySend)
-		if !q.trial.running && !q.trial.waiting {
-			q.trial.waiting, q.trial.until = true, q.waitEnd()
-		}
+		q.holdForTrial(res.shard, retrySend)
+	}
+}
+
+// holdForTrial lets a shard wait until the guard decides how the suspected request may go
+// on.
+func (q *query) holdForTrial(shard int, cause sendCause) {
+	q.hold(shard, cause)
+	if !q.trial.running && !q.trial.waiting {
+		q.trial.waiting, q.trial.until = true, q.waitEnd()
 	}
 }
 
