control: refuse odd check-ins where they come in

Report of other operators: an odd entry among those of the servers, and hosts that read the list ended or stopped following. It happens here in part: no process ended, but a server name that is not UTF-8 got 503 for ever, and failed the sound check-ins that shared its command. By reading: a number of slots above 2^32 was cut to its lower bits and accepted; names with control characters, port 0 and addresses that nobody can reach were accepted and passed on to all hosts, which wrote the name into a header of each request.

Cause: only the message was checked, after the conversion to it, and the message cannot hold what is not UTF-8.

Change: registrar.Server.Check, asked by the control host that takes the check-in (400), by the leader before it shares a command, and by entry hosts for what control hosts of other versions send.

--- a/internal/control/server/checkins.go
+++ b/internal/control/server/checkins.go
@@ -75,6 +75,9 @@
 		return
 	}
 	s, err := registrar.FromMessage(r.GetRegistration())
+	if err == nil {
+		err = s.Check()
+	}
 	if err != nil {
 		done(nil, errors.Wrap(errInvalid, err.Error()))
 		return
--- a/internal/control/server/forward.go
+++ b/internal/control/server/forward.go
@@ -134,6 +134,9 @@
 // Register takes a check-in of a backend server. It returns the inner address of
 // the leader if that is another host. Errors are ErrNoLeader and ErrInvalidRequest.
 func (s *Server) Register(ctx context.Context, server registrar.Server) (netip.AddrPort, error) {
+	if err := server.Check(); err != nil {
+		return netip.AddrPort{}, errors.Wrap(ErrInvalidRequest, err.Error())
+	}
 	r := &messenger.RegisterRequest{Registration: server.Message()}
 	_, leader, err := callLeader(ctx, s,
 		func(ctx context.Context, c messenger.ControlServer) (*messenger.RegisterReply, error) {
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -411,8 +411,12 @@
 	}
 	for _, m := range reply.GetRegistrations() {
 		s, err := registrar.FromMessage(m)
+		if err == nil {
+			err = s.Check()
+		}
 		if err != nil {
 			w.config.Log.Error("ignored an invalid registration", "err", err)
+			delete(servers, m.GetServer())
 			continue
 		}
 		w.config.Log.Debug("backend server changed", "server", s.Name, "service", s.Service, "state", s.State, "index", s.ChangeIndex)
