--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -75,8 +75,10 @@
 	view view
 	// routing is the routing document in force, as the operator sent it.
 	routing routingDocument
-	// registry is the set of known backend servers.
-	registry *registrar.Registry
+	// registry is the set of known backend servers, skippedRegistrations the number of
+	// invalid ones in the snapshot that was restored last.
+	registry             *registrar.Registry
+	skippedRegistrations int
 }
 
 // New returns an empty state machine. The validator must return the same faults for
--- a/internal/control/keeper/routing.go
+++ b/internal/control/keeper/routing.go
@@ -62,17 +62,22 @@
 }
 
 // restoreRoutingAndRegistryFrom replaces the routing document and the registry by
-// those in the state of a snapshot. It returns an error for an invalid registration.
-func (k *Keeper) restoreRoutingAndRegistryFrom(state *messenger.KeeperState) error {
+// those in the state of a snapshot. Like applyRegistrations it skips invalid ones, which
+// another version may have stored, so that they do not keep the host from starting.
+func (k *Keeper) restoreRoutingAndRegistryFrom(state *messenger.KeeperState) {
 	k.routing = routingDocument{version: state.GetRouting().GetVersion(), packed: state.GetRouting().GetPacked()}
 	var list []registrar.Server
 	for _, m := range state.Registrations {
 		s, err := registrar.FromMessage(m)
 		if err != nil {
-			return err
+			k.skippedRegistrations++
+			continue
 		}
 		list = append(list, s)
 	}
 	k.registry = registrar.Restore(list, state.RegistryFloor)
-	return nil
 }
+
+// SkippedRegistrations returns the number of invalid registrations in the snapshot that
+// was restored last.
+func (k *Keeper) SkippedRegistrations() int { return k.skippedRegistrations }
--- a/internal/control/keeper/snapshot.go
+++ b/internal/control/keeper/snapshot.go
@@ -100,9 +100,7 @@
 	restored.view = view{number: state.View.GetNumber(), members: state.View.GetMembers(), departed: state.Departed}
 	restored.restoreLedgerFrom(&state)
 	restored.restoreQuarantineFrom(&state)
-	if err := restored.restoreRoutingAndRegistryFrom(&state); err != nil {
-		return errors.Wrap(err, "restore the registry")
-	}
+	restored.restoreRoutingAndRegistryFrom(&state)
 	*k = *restored
 	return nil
 }
--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -162,7 +162,7 @@
 		lastSnapshot:  snapshotProgress{index: snapshot.Index, snapshotBytes: len(snapshot.Data)},
 	}
 	if snapshot.Index > 0 {
-		if err := l.keeper.Restore(snapshot.Data); err != nil {
+		if err := l.restoreKeeper(snapshot.Data); err != nil {
 			return nil, err
 		}
 	}
@@ -311,10 +311,22 @@
 	return err
 }
 
+// restoreKeeper replaces the state machine's state with that of a snapshot.
+func (l *loop) restoreKeeper(data []byte) error {
+	if err := l.keeper.Restore(data); err != nil {
+		return err
+	}
+	if n := l.keeper.SkippedRegistrations(); n > 0 {
+		l.scope.Counter("registrations_skipped").Inc(int64(n))
+		l.log.Error("ignored invalid registrations of backend servers in a snapshot", "count", n)
+	}
+	return nil
+}
+
 // applyReady restores the Ready's snapshot and applies its committed entries.
 func (l *loop) applyReady(r replicator.Ready) error {
 	if r.Snapshot != nil {
-		if err := l.keeper.Restore(r.Snapshot.Data); err != nil {
+		if err := l.restoreKeeper(r.Snapshot.Data); err != nil {
 			return errors.Wrap(err, "restore snapshot from the leader")
 		}
 		l.lastSnapshot = snapshotProgress{index: r.Snapshot.Index, snapshotBytes: len(r.Snapshot.Data)}
