delegator: text that is not UTF-8 does not put other hosts to rest

A request or an answer with such text cannot be held by a message. The call failed with an internal error, which counted against the host that was asked, so that one client took the way to other hosts from all of them; the client got 502, which promises nothing, though nothing had been sent. Such a request is not handed over now, and such an answer is no fault of the host. TestOddText failed before.

--- a/internal/host/delegator/delegator.go
+++ b/internal/host/delegator/delegator.go
@@ -145,6 +145,11 @@
 // Delegate implements relayer.Delegator. It asks one host after the other until one
 // takes the request.
 func (d *Delegator) Delegate(ctx context.Context, r relayer.Request) (relayer.Answer, error) {
+	if !fitsMessage(r) {
+		d.config.Scope.Counter("not_taken").Inc(1)
+		d.config.Log.Info("request cannot be handed over, because it has text that is not UTF-8", "request", r.ID)
+		return relayer.Answer{}, relayer.ErrNotTaken
+	}
 	start := time.Now()
 	var asked []*helper
 	for time.Since(start) < seekTimeout && ctx.Err() == nil {
@@ -206,7 +211,8 @@
 		d.lastUsed[h.address] = now
 	}
 	switch {
-	case err == nil:
+	case err == nil, status.Code(err) == codes.Internal:
+		// An answer that a message cannot hold says nothing about the host.
 	case errors.Is(err, errNotReady):
 		h.restsUntil = now.Add(shortRest)
 	default:
--- a/internal/host/delegator/delegator_test.go
+++ b/internal/host/delegator/delegator_test.go
@@ -388,6 +388,40 @@
 
 var errTest = errors.New("test")
 
+// TestOddText guards against a request or an answer with text that is not UTF-8 that takes
+// the way to other hosts from the requests that follow it.
+func TestOddText(t *testing.T) {
+	odd := http.Header{"A": {"\xff"}}
+	answer := relayer.Answer{Reason: relayer.Served, Status: http.StatusOK}
+	helped := newTestHost(t, 1, nil)
+	helper := newTestHost(t, 2, func(_ context.Context, r relayer.Request) relayer.Answer {
+		if r.Path == "/odd" {
+			return relayer.Answer{Reason: relayer.Served, Status: http.StatusOK, Header: odd}
+		}
+		return answer
+	})
+	introduce(helped, helper)
+	for _, change := range []func(*relayer.Request){
+		func(r *relayer.Request) { r.Header = odd },
+		func(r *relayer.Request) { r.Path = "/\xff" },
+		func(r *relayer.Request) { r.Target = "/\xff" },
+		func(r *relayer.Request) { r.ID = "\xff" },
+	} {
+		r := testRequest()
+		change(&r)
+		_, err := helped.delegator.Delegate(t.Context(), r)
+		require.ErrorIs(t, err, relayer.ErrNotTaken)
+	}
+	r := testRequest()
+	r.Path = "/odd"
+	_, err := helped.delegator.Delegate(t.Context(), r)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, relayer.ErrNotTaken, "the request has run")
+	a, err := helped.delegator.Delegate(t.Context(), testRequest())
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, a.Status)
+}
+
 // TestRest guards against a host that is never asked again after it could not help.
 func TestRest(t *testing.T) {
 	d := New(Config{Address: netip.MustParseAddrPort("127.0.41.1:1"), Log: log.New(io.Discard), Scope: tally.NoopScope})
--- a/internal/host/delegator/message.go
+++ b/internal/host/delegator/message.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -23,6 +25,22 @@
 	return m
 }
 
+// fitsMessage reports whether a message can hold the request. Its text fields hold UTF-8
+// only, while clients may send other bytes.
+func fitsMessage(r relayer.Request) bool {
+	for _, text := range []string{r.ID, r.Method, r.Target, r.Path, r.Host, r.HostHeader} {
+		if !utf8.ValidString(text) {
+			return false
+		}
+	}
+	for _, values := range r.Header {
+		if slices.ContainsFunc(values, func(v string) bool { return !utf8.ValidString(v) }) {
+			return false
+		}
+	}
+	return true
+}
+
 // decodeRequest returns the request of a message that arrived at now.
 func decodeRequest(m *messenger.ForwardRequest, now time.Time) relayer.Request {
 	r := relayer.Request{
