--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -14,6 +14,7 @@
 	length := time.Duration(200+s.randomInt(2500)) * time.Millisecond
 	kinds := []func(time.Duration){
 		s.stopRelay, s.killRelay, s.pauseRelay, s.killMember, s.pauseMember, s.wipeMember, s.killMembers,
+		s.stopMember, s.replaceMember,
 		s.degradeBackend, s.degradeBackend, s.injectLinkFault, s.injectLinkFault, s.resetConnections, s.drainBackend, s.crashBackend, s.limitBackend,
 		s.sendCrashingRequest, s.leaveBackend, s.pauseBackend,
 	}
@@ -110,6 +111,58 @@
 	s.markDisturbance()
 }
 
+// stopMember stops a member as an operator does and starts it again with its disk. Another
+// one takes over its vote meanwhile.
+func (s *soak) stopMember(pause time.Duration) {
+	p := s.acquireProcess(s.system.Members, memberFaultSlot)
+	if p == nil {
+		return
+	}
+	defer func() { <-memberFaultSlot }()
+	s.endMember(p)
+	time.Sleep(pause)
+	s.restart(p)
+	time.Sleep(time.Second)
+	s.markDisturbance()
+}
+
+// endMember ends a member with SIGTERM.
+func (s *soak) endMember(p *standin.Process) {
+	s.markDisturbance()
+	_ = p.Signal(syscall.SIGTERM)
+	if !p.Wait(memberStopLimit) {
+		s.failf("%s did not end by itself within %s of SIGTERM", p.Name, memberStopLimit)
+	}
+}
+
+// replaceMember stops a member for good, with another one in reserve, and takes the disk of
+// another away at once. The group has to survive that; a host without data takes the place
+// of the first one.
+func (s *soak) replaceMember(pause time.Duration) {
+	p := s.acquireProcess(s.system.Members, memberFaultSlot)
+	if p == nil {
+		return
+	}
+	defer func() { <-memberFaultSlot }()
+	time.Sleep(disturbanceWindow)
+	s.endMember(p)
+	lost := p
+	for lost == p {
+		lost = s.system.Members[s.randomInt(len(s.system.Members))]
+	}
+	wipe := func(p *standin.Process) {
+		if err := p.RemoveData(); err != nil {
+			s.failf("wipe %s: %v", p.Name, err)
+		}
+	}
+	s.killAndRestart(lost, pause, func() { wipe(lost) })
+	time.Sleep(disturbanceWindow)
+	wipe(p)
+	s.restart(p)
+	time.Sleep(disturbanceWindow)
+	s.markDisturbance()
+}
+
 // killMembers kills and restarts all members at once.
 func (s *soak) killMembers(time.Duration) {
 	if s.acquireProcess(s.system.Members, memberFaultSlot) == nil {
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -16,6 +16,7 @@
 // Sizes and time limits of a run.
 const (
 	members  = 3
+	reserve  = 1
 	relays   = 3
 	replicas = 2
 	clients  = 6
@@ -33,6 +34,8 @@
 	disturbanceWindow = 5 * time.Second
 	// stopLimit bounds a planned stop; the grace period of the relays is 3 s.
 	stopLimit = 4 * time.Second
+	// memberStopLimit bounds a planned stop of a member, whose grace period is 6 s.
+	memberStopLimit = 6 * time.Second
 )
 
 // soak is the state of the run of one seed.
@@ -129,7 +132,7 @@
 		services: map[string]string{}, outcomes: map[string]clientResult{},
 	}
 	network := byte(30 + seed%200)
-	system, err := standin.Start(binary, folder, network, firstPort(seed), members, relays)
+	system, err := standin.Start(binary, folder, network, firstPort(seed), members+reserve, relays)
 	s.system = system
 	if err != nil {
 		system.Stop()
