relayer: the budget of extra sends starts empty

Cause: each start of a process gave half of the burst for each service again.

Change: a budget starts empty and gains by requests.

--- a/internal/route/relayer/budget.go
+++ b/internal/route/relayer/budget.go
@@ -44,11 +44,9 @@
 	b, ok := r.budgets[service]
 	if !ok {
 		// The previous process on this host may have used the whole allowance just
-		// before it ended, so lastTaken starts at the start of this process.
+		// before it ended, so the budget starts empty, and lastTaken at the start of this
+		// process. Several restarts within a window then add nothing.
 		b = &hostBudget{TokenBucket: hedger.NewTokenBucket(budgetFraction*r.config.Budget.Ratio, r.burstCapacity()), refilledAt: now, lastTaken: r.startedAt}
-		// The first requests after a start may need extra sends too. Starting with
-		// half of the tokens keeps a host that restarts from sending twice its share.
-		b.AddTokens(max(1, r.burstCapacity()/2))
 		r.budgets[service] = b
 	}
 	if now.Sub(b.lastTaken) >= r.config.Budget.Window {
--- a/internal/route/relayer/late_test.go
+++ b/internal/route/relayer/late_test.go
@@ -18,8 +18,8 @@
 	"gentianpond/internal/route/router"
 )
 
-// lateSendTime is longer than it takes until a hedge is sent that the budget of a host
-// that has just started denies at first.
+// lateSendTime is longer than it takes until a hedge is sent, and than room within a rate
+// limit holds.
 const lateSendTime = 300 * time.Millisecond
 
 // lateEnv has a request in flight at the time at which server b of its service is taken
