control: tests of a group of one voter that is replaced, and of restarts without a successor

The first guards the case of no loss to be borne, the second that a stop that is only a restart keeps its vote.

--- a/internal/control/server/replacement_test.go
+++ b/internal/control/server/replacement_test.go
@@ -106,3 +106,43 @@
 		})
 	}
 }
+
+// TestOnlyVoterReplaced guards against a group of one voter that ends with it, although a
+// successor held everything.
+func TestOnlyVoterReplaced(t *testing.T) {
+	g := newOpenGroup(t)
+	g.seeds = g.seeds[:1]
+	one := func(bootstrap bool) func(*Settings) {
+		return func(s *Settings) { s.Voters, s.Bootstrap = 1, bootstrap }
+	}
+	first, successor := g.seeds[0], g.address(4)
+	g.publish(g.startWith(first, one(true)), 1, "one")
+	g.startWith(successor, one(false))
+	g.waitForLearner(successor)
+	g.stop(first)
+	g.publish(g.running[successor].server, 2, "two")
+	version, text := g.read(g.running[successor].server)
+	require.Equal(t, uint64(2), version)
+	require.Equal(t, "two", text)
+}
+
+// TestRestartKeepsVote guards against a planned stop without a successor that waits for
+// one, or that costs the host its vote.
+func TestRestartKeepsVote(t *testing.T) {
+	g := newOpenGroup(t)
+	var all []*Server
+	for _, a := range g.seeds {
+		all = append(all, g.start(a, true))
+	}
+	g.publish(all[0], 1, "one")
+	for _, a := range g.seeds {
+		start := time.Now()
+		g.stop(a)
+		require.Less(t, time.Since(start), defaultGrace/2)
+		g.start(a, false)
+		g.waitForVoters(g.running[a].server, g.seeds...)
+	}
+	version, text := g.read(g.running[g.seeds[0]].server)
+	require.Equal(t, uint64(1), version)
+	require.Equal(t, "one", text)
+}
