router, relayer: client accounts, their keys and the hook for allowances

Cause: the document's accounts were not decoded, so every request of a customer with accounts ran without the account's name and with the key passed on to the backend servers. Change: router.Account with keys, priority, rate and regions; the relayer identifies the account with the routing table by which it matches the route, answers 401 without one, sets the account's name on the headers that every send, hedge, retry and handed-over request copies, and ranks requests by the account's priority before the route's.

--- a/internal/host/delegator/fleet_test.go
+++ b/internal/host/delegator/fleet_test.go
@@ -32,6 +32,8 @@
 type fleetCodec struct{}
 
 func (fleetCodec) Encode(h http.Header, id string, _ time.Duration, _ string) { h.Set("Id", id) }
+func (fleetCodec) Key(http.Header) string                                     { return "" }
+func (fleetCodec) SetAccount(http.Header, string)                             {}
 func (fleetCodec) RequestID(h http.Header) string                             { return h.Get("Id") }
 func (c fleetCodec) Decode(_ int, h http.Header) relayer.AnswerMetadata {
 	return relayer.AnswerMetadata{RequestID: c.RequestID(h), Stamp: h.Get("Stamp")}
--- a/internal/host/delegator/message.go
+++ b/internal/host/delegator/message.go
@@ -17,7 +17,7 @@
 	m := &messenger.ForwardRequest{
 		Nonce: nonce, Table: r.Table, Id: r.ID, Method: r.Method, Target: r.Target, Path: r.Path, Host: r.Host, HostHeader: r.HostHeader,
 		Header: encodeHeader(r.Header), Body: r.Body, Elapsed: durationpb.New(now.Sub(r.Received)), Transit: durationpb.New(r.TransitTime),
-		Counted: r.Counted,
+		Counted: r.Counted, Account: r.Account,
 	}
 	if !r.Deadline.IsZero() {
 		m.Left = durationpb.New(r.Deadline.Sub(now))
@@ -47,6 +47,7 @@
 		ID: m.GetId(), Method: m.GetMethod(), Target: m.GetTarget(), Path: m.GetPath(), Host: m.GetHost(), HostHeader: m.GetHostHeader(),
 		Header: decodeHeader(m.GetHeader()), Body: m.GetBody(), Received: now.Add(-m.GetElapsed().AsDuration()),
 		TransitTime: m.GetTransit().AsDuration(), Delegated: true, Table: m.GetTable(), Counted: m.GetCounted(),
+		Account: m.GetAccount(),
 	}
 	if m.GetLeft() != nil {
 		r.Deadline = now.Add(m.GetLeft().AsDuration())
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -42,6 +42,11 @@
 	// Quarantined means that the request crashes the servers that run it, or is suspected
 	// of that while its service can spare no server.
 	Quarantined // quarantined
+	// Unauthorized means that the request has no key of an account, although its route
+	// needs one.
+	Unauthorized // unauthorized
+	// OverAllowance means that the account of the request has used up its allowance.
+	OverAllowance // over allowance
 	// Expired means that the time limit passed before the request was sent.
 	Expired // expired
 	// Broken means that servers or their connections failed after the request had been
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -81,6 +81,9 @@
 	r := *request
 	r.Table, r.Counted = q.table.Version, q.counted
 	r.Deadline = q.deadline
+	if q.account != nil {
+		r.Account = q.account.Name
+	}
 	r.TransitTime = cmp.Or(r.TransitTime, q.relayer.config.TransitTime) + hopTime
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -58,6 +58,8 @@
 	Delegated bool
 	Table     uint64
 	Counted   bool
+	// Account is the name of the account that the other host found for the request.
+	Account string
 }
 
 // query is the state of one client request. Only the goroutine of run uses it; the
@@ -77,6 +79,8 @@
 	// answer, so that all parts belong to the shards of one table. The servers are those
 	// of the current routing state; see late.go.
 	table *router.Table
+	// account is the client account of the request, nil if there is none.
+	account *router.Account
 	// plan tells when to answer with the parts that have arrived. A request that is not
 	// a fan-out has a plan for a single part.
 	plan gatherer.Plan
@@ -163,6 +167,10 @@
 	if !ok {
 		return r.Refuse(&request, NoRoute)
 	}
+	account, ok := r.identify(routing.table, route, &request)
+	if !ok {
+		return r.Refuse(&request, Unauthorized)
+	}
 	deadline := request.Received.Add(route.Timeout)
 	if !request.Deadline.IsZero() && request.Deadline.Before(deadline) {
 		deadline = request.Deadline
@@ -177,7 +185,11 @@
 	if !time.Now().Before(deadline) {
 		return r.Refuse(&request, Expired)
 	}
+	if wait, ok := r.takeAllowance(ctx, account, &request); !ok {
+		return r.refuseAllowance(&request, account, wait)
+	}
 	q := r.newQuery(routing.table, route, &request, deadline)
+	q.account = account
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer q.endTrial()
@@ -186,6 +198,9 @@
 		answer = q.serve(ctx, &request)
 	}
 	answer.allowance = q.request.Allowance
+	if answer.Reason.NotRun() {
+		r.returnAllowance(account, &request)
+	}
 	r.reportRequest(q, &request, answer)
 	return answer
 }
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -20,15 +20,17 @@
 	_ = x[Overload-9]
 	_ = x[RateLimited-10]
 	_ = x[Quarantined-11]
-	_ = x[Expired-12]
-	_ = x[Broken-13]
-	_ = x[TimedOut-14]
-	_ = x[ClientLeft-15]
+	_ = x[Unauthorized-12]
+	_ = x[OverAllowance-13]
+	_ = x[Expired-14]
+	_ = x[Broken-15]
+	_ = x[TimedOut-16]
+	_ = x[ClientLeft-17]
 }
 
-const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedunauthorizedover allowanceexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 126, 132, 141, 152}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 131, 145, 152, 158, 167, 178}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -73,6 +73,11 @@
 	// Encode sets the headers of one send: the client's request id, the time left
 	// until the deadline and the name of the intended server.
 	Encode(h http.Header, id string, left time.Duration, server string)
+	// Key returns the key of a client account that a request carries, or an empty string.
+	Key(h http.Header) string
+	// SetAccount removes the key from the headers of a request and sets the name of the
+	// account for backend servers. An empty name removes one that the client sent.
+	SetAccount(h http.Header, account string)
 	// RequestID returns the id of the request that an answer belongs to.
 	RequestID(h http.Header) string
 	// Decode reads the metadata of an answer from its status and headers.
@@ -152,6 +157,8 @@
 	// ReportLeaving passes on that a server is about to stop. It must not block. It may be
 	// nil.
 	ReportLeaving func(server string, incarnation uint64)
+	// Allowances grants the requests of accounts that have a limit. Nil grants all.
+	Allowances Allowances
 	// ControlAge returns the time since the last message from the control hosts. It is
 	// nil if that is unknown.
 	ControlAge func() time.Duration
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -37,6 +37,16 @@
 	h.Set("Server", server)
 }
 
+func (testCodec) Key(h http.Header) string { return h.Get("Key") }
+
+func (testCodec) SetAccount(h http.Header, account string) {
+	h.Del("Key")
+	h.Del("Account")
+	if account != "" {
+		h.Set("Account", account)
+	}
+}
+
 func (testCodec) RequestID(h http.Header) string { return h.Get("Id") }
 
 func (c testCodec) Decode(status int, h http.Header) AnswerMetadata {
--- a/internal/route/router/router.go
+++ b/internal/route/router/router.go
@@ -69,6 +69,10 @@
 	TopK int
 	// MinCoverage is the least fraction of shards in the answer of a fan-out.
 	MinCoverage float64
+	// Public means that requests need no key of a client account.
+	Public bool
+	// Regions are the regions in which the requests may be processed; empty means all.
+	Regions []string
 
 	// splitPosition determines the target of the next request. See goldenRatioStep.
 	splitPosition *atomic.Uint64
@@ -103,6 +107,11 @@
 	// ConnectionLimit is the number of connections that each of its servers accepts from
 	// all hosts together.
 	ConnectionLimit int
+	// ColdRate is the number of requests a second that a cold server of the service takes
+	// from all hosts together, 0 for no limit. ColdTime is how long a server is cold after
+	// its start.
+	ColdRate float64
+	ColdTime time.Duration
 }
 
 // Limits are the limits on the requests and connections of clients.
@@ -130,23 +139,40 @@
 	services map[string]Service
 	// routesByHost holds the routes of each requested host, the longest prefix first.
 	routesByHost map[string][]*Route
-	// priorityCount is the result of PriorityCount.
-	priorityCount int
+	// priorityCount is one more than the lowest priority of a route, accountPriorityCount
+	// the same for accounts, at least 1.
+	priorityCount        int
+	accountPriorityCount int
+	// accounts holds the client accounts, nil if requests need no key.
+	accounts *accountSet
 }
 
-// New returns a validated table. The error wraps ErrInvalid and lists all faults.
+// New returns a validated table whose requests need no key. The error wraps ErrInvalid and
+// lists all faults.
 func New(version uint64, routes []Route, services []Service, limits Limits) (*Table, error) {
+	return newTable(version, routes, services, limits, nil)
+}
+
+// NewWithAccounts returns a validated table whose requests need the key of one of the
+// accounts, except on public routes. The error wraps ErrInvalid and lists all faults.
+func NewWithAccounts(version uint64, routes []Route, services []Service, limits Limits, accounts []Account) (*Table, error) {
+	return newTable(version, routes, services, limits, newAccountSet(accounts))
+}
+
+// newTable returns a validated table.
+func newTable(version uint64, routes []Route, services []Service, limits Limits, accounts *accountSet) (*Table, error) {
 	t := &Table{
 		Version:      version,
 		Limits:       limits,
 		routes:       slices.Clone(routes),
 		services:     map[string]Service{},
 		routesByHost: map[string][]*Route{},
+		accounts:     accounts,
 	}
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
-	if faults := t.findFaults(); len(faults) > 0 {
+	if faults := append(t.findFaults(), accounts.findFaults()...); len(faults) > 0 {
 		return nil, errors.Wrap(ErrInvalid, strings.Join(faults, "; "))
 	}
 	for i := range t.routes {
@@ -157,6 +183,7 @@
 		r.splitPosition.Store(rand.Uint64())
 		t.routesByHost[r.Host] = append(t.routesByHost[r.Host], r)
 	}
+	t.accountPriorityCount = t.countAccountPriorities()
 	for _, list := range t.routesByHost {
 		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -224,10 +251,6 @@
 	return nil, false
 }
 
-// PriorityCount returns the number of priorities, which is one more than the lowest
-// priority of a route.
-func (t *Table) PriorityCount() int { return t.priorityCount }
-
 // Routes returns all routes in the order of the document.
 func (t *Table) Routes() []Route { return t.routes }
 
--- a/internal/route/router/router_test.go
+++ b/internal/route/router/router_test.go
@@ -71,6 +71,35 @@
 	})
 }
 
+// TestRank guards against an account whose priority is ignored, or that goes behind a less
+// urgent one because of the route, and against ranks that change where no account has a
+// priority.
+func TestRank(t *testing.T) {
+	routes := []Route{
+		{Name: "urgent", Host: "h", Prefix: "/a/", Timeout: time.Second, Targets: []Target{{Service: "s", Weight: 1}}},
+		{Name: "usual", Host: "h", Prefix: "/b/", Timeout: time.Second, Priority: 1, Targets: []Target{{Service: "s", Weight: 1}}},
+	}
+	accounts := []Account{{Name: "high", Ranked: true}, {Name: "low", Ranked: true, Priority: 1}, {Name: "none"}}
+	ranks := func(accounts []Account) string {
+		table, err := NewWithAccounts(1, routes, []Service{{Name: "s"}}, Limits{}, accounts)
+		require.NoError(t, err)
+		var out strings.Builder
+		for i := range table.Accounts() {
+			for j := range table.Routes() {
+				fmt.Fprintf(&out, "%d ", table.Rank(&table.Routes()[j], &table.Accounts()[i]))
+			}
+		}
+		return fmt.Sprintf("%sof %d", out.String(), table.RankCount())
+	}
+	require.Equal(t, "0 1 2 3 0 3 of 4", ranks(accounts))
+	require.Equal(t, "0 1 of 2", ranks(accounts[2:]))
+	require.Equal(t, "0 1 of 2", ranks(accounts[:1])[:4]+ranks(accounts[2:])[4:])
+	table, err := New(1, routes, []Service{{Name: "s"}}, Limits{})
+	require.NoError(t, err)
+	require.Equal(t, 1, table.Rank(&table.Routes()[1], nil))
+	require.Equal(t, 2, table.RankCount())
+}
+
 // TestPick guards against a split that deviates from the weights over as few as 300
 // requests.
 func TestPick(t *testing.T) {
