allotter: decide whether a client account has room over all hosts

Cause: nothing stands behind relayer.Config.Allowances, so accounts have no limit. Change: package allotter, pure: one lender per account by rendezvous hashing over positions, a backup that is asked if it does not reply, own shares of hosts that reach neither, the modes of a host by the time since its last contact, and the roster by which the leader of the control hosts names lenders. Everything that may be granted besides the lender's bucket is divided in advance from what the bound allows beyond the limit (quotaOverage, quotaSlack), so that the bound holds whichever hosts reach each other.

--- /dev/null
+++ b/internal/route/allotter/allotter.go
@@ -0,0 +1,359 @@
+// Package allotter decides whether a client account has room for a request within the limit
+// that it has over all entry hosts. It does no I/O and reads no clock.
+//
+// One host, the lender of the account, holds a token bucket that all hosts ask. Whatever
+// else may grant requests at the same time is part of what the bound of the platform allows
+// beyond the limit, and is divided in advance: the backup of the lender and the hosts' own
+// shares together never get more than that. The bound so holds whichever hosts reach each
+// other. A host that has lost the control hosts for long enough to be missed there uses its
+// full share, which the lender then leaves to it.
+package allotter
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"gentianpond/internal/route/pacer"
+)
+
+const (
+	// TouchTime is the time after the last contact with the control hosts from which a host
+	// asks no lender, is none, and forgets who they are.
+	TouchTime = 3 * time.Second
+	// aloneAfter is the time after the last contact from which a host uses its full share.
+	// By then the control hosts have missed it for ForgetTime, counted from a reply that
+	// may have been held for 2 s and lost on the way, and have told the lenders.
+	aloneAfter = 7 * time.Second
+	// aloneUntil is the time after the last contact until which it does. The control hosts
+	// count it as absent for longer.
+	aloneUntil = ForgetTime + AbsentTime - 4*time.Second
+	// startTokens is the number of requests that a new lender may grant at once.
+	startTokens = 4
+	// minRest and maxRest bound the time for which a lender that did not reply is not
+	// asked. It doubles with each failure.
+	minRest = 250 * time.Millisecond
+	maxRest = time.Second
+	// trialTime is how long other requests do not ask a lender that one asks after a rest.
+	trialTime = 100 * time.Millisecond
+)
+
+// Limit is the limit of an account: requests a second, and requests at once.
+type Limit struct {
+	Rate  float64
+	Burst float64
+}
+
+// Lender is a host that grants requests to all hosts.
+type Lender struct {
+	Address  netip.AddrPort
+	Position int
+}
+
+// Lending describes who grants requests.
+type Lending struct {
+	// Known is false while the control hosts have not said who lends.
+	Known bool
+	// Lenders are sorted by position. A host that takes the place of another gets its
+	// position and with it its accounts.
+	Lenders []Lender
+	// Hosts is the number of entry hosts that control hosts hear from, Absent the number
+	// of those that fell silent lately.
+	Hosts, Absent int
+}
+
+// presentShare returns the share of the hosts that is not absent.
+func (l Lending) presentShare() float64 {
+	if l.Hosts <= 0 {
+		return 1
+	}
+	return float64(l.Hosts) / float64(l.Hosts+l.Absent)
+}
+
+// Allotter holds what one host knows of the allowances of accounts. Use New. It is not safe
+// for concurrent use.
+type Allotter struct {
+	bounds Bounds
+	// address is where this host serves others.
+	address netip.AddrPort
+	limits  map[string]Limit
+	// position is the place of this host among the entry hosts.
+	position pacer.Position
+	lending  Lending
+	// contactAt is the time of the last contact with the control hosts.
+	contactAt time.Time
+	// granters holds, for each account with a limit, its lender and the backup.
+	granters map[string]granters
+	// lent and spare hold the buckets of the accounts of which this host is the lender or
+	// the backup. own holds this host's own share of each account.
+	lent, spare, own map[string]*bucket
+	// failures holds the lenders that did not reply the last time.
+	failures map[netip.AddrPort]*failure
+}
+
+// granters are the lender of an account and the one that is asked if it does not reply. An
+// address that is not valid stands for none.
+type granters struct {
+	lender, backup netip.AddrPort
+}
+
+// failure is the state of a lender that did not reply.
+type failure struct {
+	// rest is the length of the rest that ends at restsUntil.
+	rest       time.Duration
+	restsUntil time.Time
+}
+
+// New returns the allotter of the host that serves others at an address, which is not valid
+// if it serves none.
+func New(address netip.AddrPort, bounds Bounds) *Allotter {
+	return &Allotter{
+		bounds: bounds, address: address, limits: map[string]Limit{}, granters: map[string]granters{},
+		lent: map[string]*bucket{}, spare: map[string]*bucket{}, own: map[string]*bucket{}, failures: map[netip.AddrPort]*failure{},
+	}
+}
+
+// SetLimits replaces the limits of all accounts, without those that have none. What was
+// saved is kept up to the new limits.
+func (a *Allotter) SetLimits(now time.Time, limits map[string]Limit) {
+	a.change(now, func() { a.limits = limits })
+}
+
+// Move changes the place of this host among the entry hosts.
+func (a *Allotter) Move(now time.Time, position pacer.Position) {
+	a.change(now, func() { a.position = position })
+}
+
+// SetLending replaces the lenders.
+func (a *Allotter) SetLending(now time.Time, l Lending) {
+	a.change(now, func() { a.lending = l })
+}
+
+// Contact records the time of the last contact with the control hosts. It has to be called
+// before requests, and several times in TouchTime.
+func (a *Allotter) Contact(now, at time.Time) {
+	if at.Sub(a.contactAt) >= TouchTime && !a.contactAt.IsZero() {
+		a.forgetLending(now)
+	}
+	if at.After(a.contactAt) {
+		a.refillOwn(now)
+		a.contactAt = at
+	}
+	if a.Mode(now) != InTouch {
+		a.forgetLending(now)
+	}
+}
+
+// forgetLending forgets the lenders after a loss of contact: others may have taken over.
+func (a *Allotter) forgetLending(now time.Time) {
+	if a.lending.Known {
+		a.SetLending(now, Lending{})
+	}
+}
+
+// Mode returns how this host grants requests.
+func (a *Allotter) Mode(now time.Time) Mode {
+	age := now.Sub(a.contactAt)
+	switch {
+	case a.contactAt.IsZero():
+		return Unconnected
+	case age < TouchTime:
+		return InTouch
+	case age >= aloneAfter && age < aloneUntil:
+		return Alone
+	}
+	return OutOfTouch
+}
+
+// change applies a change of the limits, the position or the lenders.
+func (a *Allotter) change(now time.Time, apply func()) {
+	a.refillAll(now)
+	apply()
+	clear(a.granters)
+	for name := range a.limits {
+		a.granters[name] = a.chooseGranters(name)
+	}
+	a.keepBuckets(now, a.lent, startTokens, func(g granters) bool { return g.lender.IsValid() && g.lender == a.address })
+	a.keepBuckets(now, a.spare, 0, func(g granters) bool { return g.backup.IsValid() && g.backup == a.address })
+	a.keepBuckets(now, a.own, 0, func(granters) bool { return true })
+	a.refillAll(now)
+}
+
+// keepBuckets removes the buckets of the accounts that this host no longer grants, and adds
+// those of the ones that it grants from now on.
+func (a *Allotter) keepBuckets(now time.Time, buckets map[string]*bucket, tokens float64, grants func(granters) bool) {
+	for name := range buckets {
+		if g, ok := a.granters[name]; !ok || !grants(g) {
+			delete(buckets, name)
+		}
+	}
+	for name, g := range a.granters {
+		if buckets[name] == nil && grants(g) {
+			buckets[name] = &bucket{tokens: tokens, refilledAt: now}
+		}
+	}
+}
+
+// refillAll brings all buckets up to date, before and after a change of their shares.
+func (a *Allotter) refillAll(now time.Time) {
+	for name, b := range a.lent {
+		b.refill(now, a.lenderShare(name))
+	}
+	for name, b := range a.spare {
+		b.refill(now, a.bounds.backupShare(a.limits[name]))
+	}
+	a.refillOwn(now)
+}
+
+// refillOwn does so with this host's own shares.
+func (a *Allotter) refillOwn(now time.Time) {
+	for name, b := range a.own {
+		b.refill(now, a.ownShare(now, name))
+	}
+}
+
+// lenderShare returns what the lender of an account may grant.
+func (a *Allotter) lenderShare(name string) pacer.Share {
+	return a.bounds.lenderShare(a.limits[name], a.lending.presentShare())
+}
+
+// ownShare returns what this host may grant on its own.
+func (a *Allotter) ownShare(now time.Time, name string) pacer.Share {
+	switch a.Mode(now) {
+	case Unconnected:
+		return pacer.Share{}
+	case Alone:
+		return divide(pacer.Share(a.limits[name]), a.position, name)
+	}
+	return divide(a.bounds.apartShare(a.limits[name]), a.position, name)
+}
+
+// Step is one attempt to take a request: at this host, or with a message to a lender.
+type Step struct {
+	// Here is true if this host grants the request itself.
+	Here    bool
+	Address netip.AddrPort
+	// Backup is true if the granter is the backup of the lender.
+	Backup bool
+}
+
+// Steps returns the attempts to take a request of an account, in their order. After them
+// the host uses its own share.
+func (a *Allotter) Steps(now time.Time, name string) []Step {
+	g, ok := a.granters[name]
+	if !ok || a.Mode(now) != InTouch {
+		return nil
+	}
+	steps := make([]Step, 0, 2)
+	for i, address := range []netip.AddrPort{g.lender, g.backup} {
+		switch {
+		case !address.IsValid():
+		case address == a.address:
+			steps = append(steps, Step{Here: true, Address: address, Backup: i > 0})
+		case a.mayAsk(now, address):
+			steps = append(steps, Step{Address: address, Backup: i > 0})
+		}
+	}
+	return steps
+}
+
+// mayAsk reports whether a lender does not rest.
+func (a *Allotter) mayAsk(now time.Time, address netip.AddrPort) bool {
+	f := a.failures[address]
+	return f == nil || !now.Before(f.restsUntil)
+}
+
+// Asking records that a lender is asked. After a rest, other requests wait for the result.
+func (a *Allotter) Asking(now time.Time, address netip.AddrPort) {
+	if f := a.failures[address]; f != nil {
+		f.restsUntil = now.Add(trialTime)
+	}
+}
+
+// Answered records the reply of a lender and reports whether it had not replied before.
+func (a *Allotter) Answered(address netip.AddrPort) bool {
+	_, failed := a.failures[address]
+	delete(a.failures, address)
+	return failed
+}
+
+// Failed records that a lender did not reply and reports whether it had replied before.
+func (a *Allotter) Failed(now time.Time, address netip.AddrPort) bool {
+	f := a.failures[address]
+	if f == nil {
+		// Lenders that are no longer listed are never asked again.
+		for other := range a.failures {
+			if !slices.ContainsFunc(a.lending.Lenders, func(l Lender) bool { return l.Address == other }) {
+				delete(a.failures, other)
+			}
+		}
+		a.failures[address] = &failure{rest: minRest, restsUntil: now.Add(minRest)}
+		return true
+	}
+	f.rest = min(2*f.rest, maxRest)
+	f.restsUntil = now.Add(f.rest)
+	return false
+}
+
+// Lend grants a request as the lender of an account or as its backup, or tells after what
+// time there will be room.
+func (a *Allotter) Lend(now time.Time, name string, backup bool) (Verdict, time.Duration) {
+	if a.Mode(now) != InTouch {
+		return NotLender, 0
+	}
+	if _, ok := a.limits[name]; !ok {
+		return UnknownAccount, 0
+	}
+	b, share := a.lent[name], a.lenderShare(name)
+	if backup {
+		b, share = a.spare[name], a.bounds.backupShare(a.limits[name])
+	}
+	if b == nil {
+		return NotLender, 0
+	}
+	wait, ok := b.take(now, share)
+	if !ok {
+		return Refused, wait
+	}
+	return Granted, 0
+}
+
+// Take takes a request from this host's own share of an account, or tells after what time
+// there will be room.
+func (a *Allotter) Take(now time.Time, name string) (wait time.Duration, ok bool) {
+	b := a.own[name]
+	if b == nil {
+		return lostWait, false
+	}
+	return b.take(now, a.ownShare(now, name))
+}
+
+// Restore gives a lender back what was taken for requests that did not run.
+func (a *Allotter) Restore(now time.Time, name string, count int, backup bool) {
+	switch {
+	case a.Mode(now) != InTouch || count <= 0:
+	case backup && a.spare[name] != nil:
+		a.spare[name].add(now, count, a.bounds.backupShare(a.limits[name]))
+	case !backup && a.lent[name] != nil:
+		a.lent[name].add(now, count, a.lenderShare(name))
+	}
+}
+
+// RestoreOwn gives this host's own share back what was taken for a request that did not run.
+func (a *Allotter) RestoreOwn(now time.Time, name string) {
+	if b := a.own[name]; b != nil {
+		b.add(now, 1, a.ownShare(now, name))
+	}
+}
+
+// Lenders returns the lenders that this host knows.
+func (a *Allotter) Lenders() []Lender { return a.lending.Lenders }
+
+// KnowsLending reports whether this host was told of the lenders and has not lost contact
+// since.
+func (a *Allotter) KnowsLending() bool { return a.lending.Known }
+
+// IsLender reports whether this host is one.
+func (a *Allotter) IsLender() bool {
+	return a.address.IsValid() && slices.ContainsFunc(a.lending.Lenders, func(l Lender) bool { return l.Address == a.address })
+}
