control, subscriber: the leader names the lenders of client accounts

Cause: entry hosts have to agree on the host that grants the requests of an account. Change: watch replies carry the lenders, for lenders also the number of hosts, of absent ones and the addresses of callers, only to hosts that have accounts with a limit. They carry how long the request was held, so that a host knows when the leader last knew of it. A lender says its position and the number of hosts that it knows, by which a new leader keeps lenders and counts those absent that it never heard of. Tests: packages control/server, control/subscriber.

--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -37,6 +37,7 @@
 	if leads {
 		l.watchingHosts.recordWatch(now, r)
 		l.recordLimits(now, r)
+		l.watchingHosts.lenders.record(now, r)
 	}
 	if leads && r.GetSeek() {
 		done(&messenger.WatchReply{Granted: true, Control: memberAddresses(l.status)}, nil)
@@ -47,7 +48,7 @@
 		return
 	}
 	until := now + min(r.GetWait().AsDuration(), maxWatchWait)
-	l.heldWatches = append(l.heldWatches, heldWatch{request: r, holdUntil: until, done: done})
+	l.heldWatches = append(l.heldWatches, heldWatch{request: r, holdUntil: until, done: l.markHeld(now, r, done)})
 }
 
 // answerWatches replies to the held requests that have news or have waited long
@@ -62,6 +63,9 @@
 	l.nextWatchCheck = now + max(minWatchInterval, time.Duration(len(l.watchingHosts.hosts))*watchIntervalPerHost)
 	leads, leader := l.isLeader(), l.leaderAddress()
 	l.trackSuspects()
+	if leads {
+		l.watchingHosts.lenders.update(now, l.log)
+	}
 	kept := l.heldWatches[:0]
 	for _, w := range l.heldWatches {
 		switch {
@@ -98,7 +102,7 @@
 func (l *loop) hasNews(r *messenger.WatchRequest) bool {
 	version, _ := l.keeper.RoutingDocument()
 	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().LastChange() ||
-		r.GetGuards() && r.GetSuspects() < l.suspects.lastChange
+		r.GetGuards() && r.GetSuspects() < l.suspects.lastChange || l.watchingHosts.lenders.isNews(r)
 }
 
 // watchReply returns the current versions with the routing document and the
@@ -116,6 +120,7 @@
 		reply.Rank = l.watchingHosts.rankOf(r.GetHost())
 		l.addPeers(reply, r)
 	}
+	l.watchingHosts.lenders.addTo(reply, r)
 	reply.Limits = l.limits.lastChange
 	reply.Changed = l.limits.changesSince(now, l.keeper.Registry(), r.GetLimits())
 	if r.GetGuards() {
--- a/internal/control/server/watchinghosts.go
+++ b/internal/control/server/watchinghosts.go
@@ -36,12 +36,14 @@
 	// hosts holds the hosts by name, order holds them by position.
 	hosts map[string]*watchingHost
 	order []*watchingHost
+	// lenders decides which of them grant the requests of client accounts.
+	lenders *lenderTracker
 }
 
 // newWatchTracker returns the tracker of a leader that begins to receive watch requests
 // at now.
 func newWatchTracker(now time.Duration) *watchTracker {
-	return &watchTracker{trackingSince: now, hosts: map[string]*watchingHost{}}
+	return &watchTracker{trackingSince: now, hosts: map[string]*watchingHost{}, lenders: newLenderTracker(now)}
 }
 
 // recordWatch records a watch request that arrived at now.
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -17,6 +17,7 @@
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/route/allotter"
 	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/value/packer"
 )
@@ -77,11 +78,20 @@
 	Peers []Peer
 	// LastReply is the time of the leader's last reply.
 	LastReply time.Time
+	// ContactAt is a time at which the leader knew of this host, close to LastReply and
+	// never after the leader sent that reply.
+	ContactAt time.Time
+	// Lending tells which hosts grant the requests of client accounts. Callers are the
+	// addresses of the hosts that may ask this one for it.
+	Lending allotter.Lending
+	Callers []netip.Addr
 
 	// registryIndex is the index of the newest registry change in Servers.
 	registryIndex uint64
-	// peersFingerprint identifies Peers to the leader.
-	peersFingerprint uint64
+	// peersFingerprint identifies Peers to the leader, and lendingFingerprint Lending and
+	// Callers.
+	peersFingerprint   uint64
+	lendingFingerprint uint64
 }
 
 // Peer is another entry host: the address at which it serves this one, and its zone.
@@ -108,6 +118,8 @@
 	Limits LimitExchange
 	// Suspects learns of requests that crash backend servers. It may be nil.
 	Suspects SuspectLearner
+	// Lending learns of the lenders of client accounts. It may be nil.
+	Lending LendingLearner
 	// Connect defaults to gRPC without extra options.
 	Connect Connector
 	// Log is required.
@@ -219,8 +231,11 @@
 	if w.config.Peer.Address.IsValid() {
 		request.Peer, request.Zone, request.Peers = w.config.Peer.Address.String(), w.config.Peer.Zone, s.peersFingerprint
 	}
+	w.addLending(request)
+	sent := time.Now()
 	reply, err := callWatch(ctx, w.leader.client, request, timeout)
 	if err == nil && reply.GetGranted() {
+		w.noteContact(sent, reply)
 		w.applyWatchReply(reply, time.Now())
 		return
 	}
@@ -380,6 +395,7 @@
 		next.Peers, next.peersFingerprint = decodePeers(reply.GetPeer()), f
 		changed = true
 	}
+	changed = w.learnLending(&next, reply) || changed
 	w.setControlHosts(reply.GetControl())
 	w.state.Store(&next)
 	if changed {
