lender: take requests from allowances with messages between entry hosts

Cause: hosts had no way to ask the lender of an account. Change: Relay.Take and Relay.Give, served by the delegator's service; package lender asks for at most 30 ms and lets a lender rest that did not reply; the forwarder wires it up; setting quota with window, overage and slack from the platform's bounds. Tests: TestTake, TestSilentLender, TestOwnShare, TestOutOfTouch, TestUnknownCaller; settings of entry hosts print the new field.

--- a/internal/host/delegator/delegator.go
+++ b/internal/host/delegator/delegator.go
@@ -83,13 +83,7 @@
 // New returns a delegator that knows no other host.
 func New(c Config) *Delegator {
 	d := &Delegator{config: c, lastUsed: map[netip.AddrPort]time.Time{}}
-	dialer := net.Dialer{
-		Timeout: connectTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Address.Addr(), 0)),
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
-	d.dial = func(ctx context.Context, address string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp4", address)
-	}
+	d.dial = NewDialer(c.Address)
 	d.conns.DialOptions = []grpc.DialOption{
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return d.dial(ctx, address) }),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
@@ -97,6 +91,18 @@
 	return d
 }
 
+// NewDialer returns a function that opens connections to other entry hosts. They come from
+// the local address at which this host serves others, by which they recognize it.
+func NewDialer(local netip.AddrPort) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{
+		Timeout: connectTimeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local.Addr(), 0)),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
+}
+
 // SetPeers replaces the hosts that may be asked.
 func (d *Delegator) SetPeers(peers []subscriber.Peer) {
 	d.mu.Lock()
--- a/internal/host/delegator/service.go
+++ b/internal/host/delegator/service.go
@@ -43,6 +43,8 @@
 	delegator *Delegator
 	relayer   RequestRelayer
 	server    *grpc.Server
+	// lending serves calls for allowances of accounts. It may be nil.
+	lending LendingService
 	// stopping is set by Drain. inFlight is the number of requests being served.
 	stopping atomic.Bool
 	inFlight atomic.Int64
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"gentianpond/internal/control/subscriber"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/host/delegator"
+	"gentianpond/internal/host/lender"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/route/pacer"
 	"gentianpond/internal/route/relayer"
@@ -88,6 +89,8 @@
 	delegator    *delegator.Delegator
 	service      *delegator.Service
 	peerListener net.Listener
+	// lender takes requests from the allowances of client accounts, also for other hosts.
+	lender *lender.Lender
 	// clientServer serves clients on clientListener.
 	clientServer *http.Server
 	// readinessServer serves the load balancer's health checks on readinessListener.
@@ -130,6 +133,10 @@
 	if peers != nil {
 		f.delegator = delegator.New(delegator.Config{Address: s.Peer, Zone: s.Zone, Log: logger, Scope: scope.SubScope("peer")})
 	}
+	f.lender = lender.New(lender.Config{
+		Address: s.Peer, Bounds: s.Quota, ContactAt: func() time.Time { return f.watcher.State().ContactAt },
+		Log: logger, Scope: scope.SubScope("allowance"),
+	})
 	f.relayer = relayer.New(relayer.Config{
 		Zone:          s.Zone,
 		Codec:         a.Codec,
@@ -138,6 +145,7 @@
 		AnswerBytes:   s.AnswerBytes,
 		HostBytes:     s.MemoryBytes / answerMemoryDivisor,
 		Delegator:     f.requestDelegator(),
+		Allowances:    f.lender,
 		ControlAge:    func() time.Duration { return time.Since(f.watcher.State().LastReply) },
 		ReportLeaving: func(server string, incarnation uint64) { f.watcher.ReportLeaving(server, incarnation) },
 		Observe:       func(o quarantiner.Observation) bool { return f.watcher.ReportObservation(o) },
@@ -146,9 +154,10 @@
 	})
 	if peers != nil {
 		f.service = delegator.NewService(f.delegator, f.relayer)
+		f.service.SetLending(f.lender.Service())
 	}
 	f.watcher = subscriber.NewWatcher(subscriber.WatcherConfig{
-		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Limits: f.relayer, Suspects: f.relayer,
+		Host: s.Listen.Addr().String(), Incarnation: uint64(time.Now().UnixNano()), Seeds: s.Seeds, OnChange: f.applyUpdate, Limits: f.relayer, Suspects: f.relayer, Lending: f.lender,
 		Peer: subscriber.Peer{Address: s.Peer, Zone: s.Zone}, Log: logger,
 	})
 	f.clientServer = &http.Server{
@@ -210,6 +219,7 @@
 		return f.watcher.Run(ctx)
 	})
 	group.Add(f.relayer.Run)
+	group.Add(f.lender.Run)
 	if f.service != nil {
 		group.Add(f.delegator.Run)
 		group.AddServer(f.servePeers, f.service.Close)
@@ -271,6 +281,7 @@
 		f.delegator.SetPeers(w.Peers)
 	}
 	position := pacer.Position{Rank: w.HostRank, Count: w.EntryHosts}
+	f.lender.Update(f.table, w.Lending, w.Callers, position)
 	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers, position)
 }
 
--- /dev/null
+++ b/internal/host/lender/lender.go
@@ -0,0 +1,302 @@
+// Package lender takes requests from the allowances of client accounts: at this host, or with
+// a message to the host that grants the requests of the account to all entry hosts. It also
+// serves these messages. Package allotter has the rules.
+package lender
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"gentianpond/internal/host/delegator"
+	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/route/allotter"
+	"gentianpond/internal/route/pacer"
+	"gentianpond/internal/route/router"
+)
+
+const (
+	// askTime bounds the time in which lenders are asked for one request, and firstAskTime
+	// that for the lender of the account while its backup can be asked after it.
+	askTime      = 30 * time.Millisecond
+	firstAskTime = 20 * time.Millisecond
+	// giveTime bounds the time to return requests.
+	giveTime = 200 * time.Millisecond
+	// checkInterval is how often the contact with the control hosts and the connections to
+	// lenders are checked.
+	checkInterval = 250 * time.Millisecond
+	// connectsPerCheck is the number of connections that are opened at a time, so that a
+	// new lender with a fifth of a core is not called by the whole fleet at once.
+	connectsPerCheck = 2
+	// logInterval is the least time between two lines about lenders that do not reply.
+	logInterval = time.Second
+	// bufferBytes is the size of the buffers of a connection, whose messages are small.
+	bufferBytes = 4 << 10
+	// pingInterval and pingTimeout detect a connection that is broken.
+	pingInterval = 10 * time.Second
+	pingTimeout  = time.Second
+)
+
+// Config holds the settings of a lender.
+type Config struct {
+	// Address is where this host serves others. It is not valid if it serves none.
+	Address netip.AddrPort
+	// Bounds are what the platform allows beyond the limits; zero means the defaults.
+	Bounds allotter.Bounds
+	// ContactAt returns the time of the last contact with the control hosts.
+	ContactAt func() time.Time
+	Log       *log.Logger
+	Scope     tally.Scope
+}
+
+// Lender implements relayer.Allowances. Use New. It is safe for concurrent use.
+type Lender struct {
+	config Config
+	conns  messenger.Conns
+	// giving wakes Run when there is something to give back.
+	giving chan struct{}
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	allotter *allotter.Allotter
+	// table is the routing table whose limits are in force.
+	table     *router.Table
+	hasLimits bool
+	// lenders and callers are the hosts that this one may ask and that may ask it.
+	lenders []allotter.Lender
+	callers map[netip.Addr]struct{}
+	// connected holds the lenders to which connections are kept.
+	connected map[netip.AddrPort]struct{}
+	// gifts counts the requests to give back.
+	gifts map[gift]int
+	// mode is the mode in the last line of the log, and failureLoggedAt the time of the last
+	// line about a lender that did not reply.
+	mode            allotter.Mode
+	failureLoggedAt time.Time
+}
+
+// gift identifies to whom requests are given back.
+type gift struct {
+	address netip.AddrPort
+	account string
+	backup  bool
+}
+
+// New returns a lender that knows no accounts.
+func New(c Config) *Lender {
+	if c.Bounds.Window <= 0 {
+		c.Bounds = allotter.DefaultBounds
+	}
+	l := &Lender{
+		config: c, giving: make(chan struct{}, 1), allotter: allotter.New(c.Address, c.Bounds), callers: map[netip.Addr]struct{}{},
+		connected: map[netip.AddrPort]struct{}{}, gifts: map[gift]int{},
+	}
+	l.conns.DialOptions = []grpc.DialOption{
+		grpc.WithContextDialer(delegator.NewDialer(c.Address)), grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingInterval, Timeout: pingTimeout}),
+	}
+	return l
+}
+
+// Update replaces the limits, the lenders, the hosts that may call this one, and its place
+// among the entry hosts.
+func (l *Lender) Update(table *router.Table, lending allotter.Lending, callers []netip.Addr, position pacer.Position) {
+	now, contactAt := time.Now(), l.config.ContactAt()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allotter.Contact(now, contactAt)
+	l.allotter.Move(now, position)
+	if table != nil && table != l.table {
+		limits := map[string]allotter.Limit{}
+		for _, a := range table.Accounts() {
+			if a.Rate > 0 {
+				limits[a.Name] = allotter.Limit{Rate: a.Rate, Burst: a.Burst}
+			}
+		}
+		l.table, l.hasLimits = table, len(limits) > 0
+		l.allotter.SetLimits(now, limits)
+	}
+	if !l.hasLimits {
+		return
+	}
+	if lending.Known {
+		l.setLending(now, lending)
+	}
+	clear(l.callers)
+	for _, a := range callers {
+		l.callers[a] = struct{}{}
+	}
+}
+
+// setLending replaces the lenders.
+func (l *Lender) setLending(now time.Time, lending allotter.Lending) {
+	changed := !slices.Equal(lending.Lenders, l.lenders)
+	l.allotter.SetLending(now, lending)
+	l.lenders = lending.Lenders
+	if changed {
+		l.config.Log.Info("lenders of client accounts changed", "lenders", len(l.lenders), "lends", l.allotter.IsLender(),
+			"hosts", lending.Hosts, "absent", lending.Absent)
+	}
+}
+
+// HasLimits implements subscriber.LendingLearner.
+func (l *Lender) HasLimits() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hasLimits
+}
+
+// KnowsLending implements subscriber.LendingLearner.
+func (l *Lender) KnowsLending() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.allotter.KnowsLending()
+}
+
+// Take implements relayer.Allowances.
+func (l *Lender) Take(ctx context.Context, a *router.Account) (wait time.Duration, ok bool) {
+	now := time.Now()
+	end := now.Add(askTime)
+	steps := l.steps(now, a.Name)
+	for i, s := range steps {
+		limit := end
+		if i+1 < len(steps) {
+			limit = now.Add(firstAskTime)
+		}
+		verdict, w := l.try(ctx, s, a.Name, limit)
+		switch {
+		case verdict == allotter.Granted:
+			l.config.Scope.Counter("granted").Inc(1)
+			return 0, true
+		case verdict == allotter.Refused && !s.Backup:
+			l.config.Scope.Counter("refused").Inc(1)
+			return w, false
+		case verdict == allotter.Refused:
+			wait = w
+		}
+	}
+	return l.takeOwn(a.Name, wait)
+}
+
+// steps returns the attempts to take a request.
+func (l *Lender) steps(now time.Time, account string) []allotter.Step {
+	contactAt := l.config.ContactAt()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allotter.Contact(now, contactAt)
+	return l.allotter.Steps(now, account)
+}
+
+// takeOwn takes a request from this host's own share. The caller waits for the backup of the
+// lender if that refused the request.
+func (l *Lender) takeOwn(account string, wait time.Duration) (time.Duration, bool) {
+	now := time.Now()
+	l.mu.Lock()
+	own, ok := l.allotter.Take(now, account)
+	l.mu.Unlock()
+	if ok {
+		l.config.Scope.Counter("fallen_back").Inc(1)
+		return 0, true
+	}
+	l.config.Scope.Counter("refused").Inc(1)
+	if wait == 0 {
+		wait = own
+	}
+	return wait, false
+}
+
+// try makes one attempt to take a request until a time.
+func (l *Lender) try(ctx context.Context, s allotter.Step, account string, until time.Time) (allotter.Verdict, time.Duration) {
+	if s.Here {
+		return l.lend(account, s.Backup)
+	}
+	l.mu.Lock()
+	l.allotter.Asking(time.Now(), s.Address)
+	l.mu.Unlock()
+	l.config.Scope.Counter("asked").Inc(1)
+	callCtx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	reply, err := l.ask(callCtx, s, account)
+	switch {
+	case err == nil:
+		l.recordAnswer(s.Address)
+		return allotter.Verdict(reply.GetVerdict()), reply.GetWait().AsDuration()
+	case status.Code(err) == codes.PermissionDenied:
+		// The lender was not yet told of this host.
+		l.recordAnswer(s.Address)
+	case ctx.Err() == nil:
+		l.recordFailure(s.Address, err)
+	}
+	return allotter.NotLender, 0
+}
+
+// ask sends a request for an allowance.
+func (l *Lender) ask(ctx context.Context, s allotter.Step, account string) (*messenger.TakeReply, error) {
+	conn, err := l.conns.Get(s.Address)
+	if err != nil {
+		return nil, err
+	}
+	return messenger.NewRelayClient(conn).Take(ctx, &messenger.TakeRequest{Account: account, Backup: s.Backup})
+}
+
+// recordAnswer records that a lender replied.
+func (l *Lender) recordAnswer(address netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.allotter.Answered(address) {
+		l.config.Log.Info("lender replies again", "host", address)
+	}
+}
+
+// recordFailure records that a lender did not reply.
+func (l *Lender) recordFailure(address netip.AddrPort, err error) {
+	l.config.Scope.Counter("unanswered").Inc(1)
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.allotter.Failed(now, address) && now.Sub(l.failureLoggedAt) >= logInterval {
+		l.failureLoggedAt = now
+		l.config.Log.Warn("lender does not reply", "host", address, "err", err)
+	}
+}
+
+// lend grants a request as the lender of the account or its backup.
+func (l *Lender) lend(account string, backup bool) (allotter.Verdict, time.Duration) {
+	now, contactAt := time.Now(), l.config.ContactAt()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allotter.Contact(now, contactAt)
+	return l.allotter.Lend(now, account, backup)
+}
+
+// Return implements relayer.Allowances. A request that was granted elsewhere than where it is
+// given back is still granted once less.
+func (l *Lender) Return(a *router.Account) {
+	now, contactAt := time.Now(), l.config.ContactAt()
+	l.config.Scope.Counter("returned").Inc(1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allotter.Contact(now, contactAt)
+	steps := l.allotter.Steps(now, a.Name)
+	switch {
+	case len(steps) == 0:
+		l.allotter.RestoreOwn(now, a.Name)
+	case steps[0].Here:
+		l.allotter.Restore(now, a.Name, 1, steps[0].Backup)
+	default:
+		l.gifts[gift{steps[0].Address, a.Name, steps[0].Backup}]++
+		select {
+		case l.giving <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/route/allotter"
 	"gentianpond/internal/settings/scanner"
 )
 
@@ -63,6 +64,8 @@
 	Extra int
 	// Window is the length of the period that Extra applies to.
 	Window time.Duration
+	// Quota is what the platform allows client accounts beyond their limits.
+	Quota allotter.Bounds
 	// Share is the number of CPU cores that the host has, such as 0.5; 1 if it is
 	// not given.
 	Share float64
@@ -119,8 +122,8 @@
 // ParseRelay is ReadRelay for a text. The name stands for the text in errors.
 func ParseRelay(name string, text []byte) (RelaySettings, error) {
 	s, root := scanner.Parse(name, text)
-	r := RelaySettings{Grace: DefaultGrace, Share: 1}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
+	r := RelaySettings{Grace: DefaultGrace, Share: 1, Quota: allotter.DefaultBounds}
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics", "quota"); ok {
 		var used usedAddresses
 		r.Name = readRequiredName(o, "name")
 		r.Zone = readRequiredName(o, "zone")
@@ -151,10 +154,32 @@
 		if n, ok := o.Field("metrics"); ok {
 			r.Metrics, _ = n.Address()
 		}
+		if n, ok := o.Field("quota"); ok {
+			r.Quota = parseQuota(n)
+		}
 	}
 	return r, s.Err()
 }
 
+// parseQuota reads the object quota. A field that is missing has its default.
+func parseQuota(n scanner.Node) allotter.Bounds {
+	b := allotter.DefaultBounds
+	o, ok := n.Object("window", "overage", "slack")
+	if !ok {
+		return b
+	}
+	if n, ok := o.Field("window"); ok {
+		b.Window, _ = n.Duration(time.Second, time.Hour)
+	}
+	if n, ok := o.Field("overage"); ok {
+		b.Overage, _ = n.Float(0, 1)
+	}
+	if n, ok := o.Field("slack"); ok {
+		b.Slack, _ = n.Float(0, maxExtraSends)
+	}
+	return b
+}
+
 // ParseMember is ReadMember for a text. The name stands for the text in errors.
 func ParseMember(name string, text []byte) (MemberSettings, error) {
 	s, root := scanner.Parse(name, text)
