--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -69,6 +70,8 @@
 	mu sync.Mutex
 	// runs counts the executions of each request by its id.
 	runs map[string]int
+	// accountRuns holds the first run of each request of a client account.
+	accountRuns []AccountRun
 	// lateRequests holds the arrival times of requests that came more than
 	// DrainGrace after drainAcked, the time at which draining was acknowledged.
 	lateRequests []time.Time
@@ -119,6 +122,19 @@
 // CrashText. It then calls f.
 func (b *Backend) OnCrash(f func()) { b.onCrash.Store(&f) }
 
+// AccountRun is a run of a request of a client account.
+type AccountRun struct {
+	Account, ID string
+	At          time.Time
+}
+
+// AccountRuns returns the first run of each request of an account on this server.
+func (b *Backend) AccountRuns() []AccountRun {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.accountRuns)
+}
+
 // ForEachRun calls f for each request that ran, with the number of executions.
 func (b *Backend) ForEachRun(f func(id string, count int)) {
 	b.mu.Lock()
@@ -266,6 +282,9 @@
 	}
 	b.mu.Lock()
 	b.runs[id]++
+	if account := r.Header.Get("X-Tenant"); account != "" && b.runs[id] == 1 {
+		b.accountRuns = append(b.accountRuns, AccountRun{Account: account, ID: id, At: time.Now()})
+	}
 	if !b.drainAcked.IsZero() && time.Since(b.drainAcked) > DrainGrace {
 		b.lateRequests = append(b.lateRequests, time.Now())
 	}
--- a/test/standin/client.go
+++ b/test/standin/client.go
@@ -34,7 +34,9 @@
 	// ServiceOf returns the service of a server by its id. It has to know servers
 	// that have ended, because their answers may still arrive.
 	ServiceOf func(id string) string
-	http      http.Client
+	// Key is the key of the client's account, empty for none.
+	Key  string
+	http http.Client
 }
 
 // Search sends a request that fans out to the shards.
@@ -85,6 +87,9 @@
 	r.Host = host
 	r.Header.Set("X-Request-Id", id)
 	r.Header.Set("X-Deadline-Milliseconds", "2000")
+	if c.Key != "" {
+		r.Header.Set("Authorization", "Bearer "+c.Key)
+	}
 	c.http.Timeout = 2500 * time.Millisecond
 	res, err := c.http.Do(r)
 	if err != nil {
--- a/test/standin/operator.go
+++ b/test/standin/operator.go
@@ -25,7 +25,20 @@
 
 // Document returns a routing document. The number of extra routes, which no
 // client uses, makes it longer.
-func Document(version uint64, extra int) []byte {
+func Document(version uint64, extra int) []byte { return DocumentOf(version, extra) }
+
+// Account is a client account of a routing document.
+type Account struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"apiKeys"`
+	Rate     float64  `json:"ratePerS"`
+	Burst    float64  `json:"burst"`
+	Priority int      `json:"priority"`
+}
+
+// DocumentOf returns a routing document with client accounts. Without any, requests need no
+// key.
+func DocumentOf(version uint64, extra int, accounts ...Account) []byte {
 	routes := []map[string]any{
 		{"name": "search", "host": SearchHost, "pathPrefix": "/s/", "kind": "safe", "timeoutMs": 2000, "targetLatencyMs": 200, "priority": 1,
 			"attempts": 2, "fanoutServices": ShardServices, "topK": 6, "minShardFraction": MinShardFraction},
@@ -42,8 +55,12 @@
 	for _, name := range append([]string{OrderService}, ShardServices...) {
 		services = append(services, map[string]any{"name": name, "healthPath": "/health", "connectionLimit": 30, "protocol": "h1", "tls": false})
 	}
-	text, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{
-		"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+	document := map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{
+		"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
+	if len(accounts) > 0 {
+		document["tenants"] = accounts
+	}
+	text, err := json.Marshal(document)
 	if err != nil {
 		panic(err)
 	}
@@ -71,7 +88,11 @@
 // Publish sends a document until it is acknowledged or the time limit has passed.
 // It returns a failure if the document, which is valid, is refused.
 func (o *Operator) Publish(version uint64, extra int, limit time.Duration) (acked bool, failure string) {
-	text := Document(version, extra)
+	return o.PublishText(version, Document(version, extra), limit)
+}
+
+// PublishText is Publish for the text of a document.
+func (o *Operator) PublishText(version uint64, text []byte, limit time.Duration) (acked bool, failure string) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		status, body := Call(http.MethodPut, "http://"+o.nextControl()+"/v1/configuration", text, 1500*time.Millisecond)
 		switch {
