allowances: planned stops, readiness, scripts and tests of the parts

Cause: accounts had only the backup of their lender for four seconds after each planned stop; a host that starts together with the leader reported itself ready before it knew any lender. Change: a host that stops tells the leader so before it ends and stops to lend right before it does; readiness waits for lenders for at most 5 s if accounts have limits; callers without a lender are told to return after at most a second.

--- a/internal/control/subscriber/lending.go
+++ b/internal/control/subscriber/lending.go
@@ -17,6 +17,9 @@
 	// KnowsLending reports whether this host has not forgotten what it was told. It does so
 	// after a loss of contact: others may have taken over.
 	KnowsLending() bool
+	// MayLend reports whether this host may be a lender. It is called right before the
+	// leader is told.
+	MayLend() bool
 }
 
 // addLending adds to a watch request what this host knows of lenders.
@@ -24,7 +27,7 @@
 	if w.config.Lending == nil {
 		return
 	}
-	r.Lender = w.config.Peer.Address.IsValid()
+	r.Lender = w.config.Lending.MayLend()
 	r.Accounts = w.config.Lending.HasLimits()
 	if !w.config.Lending.KnowsLending() {
 		w.forgetLending()
@@ -32,7 +35,7 @@
 	s := w.State()
 	r.Lending = s.lendingFingerprint
 	i := slices.IndexFunc(s.Lending.Lenders, func(l allotter.Lender) bool { return l.Address == w.config.Peer.Address })
-	if i >= 0 {
+	if i >= 0 && r.GetLender() {
 		r.Lends = uint32(s.Lending.Lenders[i].Position) + 1
 		r.Fleet = uint32(s.Lending.Hosts + s.Lending.Absent)
 	}
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -37,6 +37,9 @@
 	// its routes before it reports itself ready without them. Servers check in more
 	// often.
 	maxServerWait = 3 * time.Second
+	// maxLenderWait is how long it waits for the lenders of client accounts. A new leader of
+	// the control hosts names them after four seconds.
+	maxLenderWait = 5 * time.Second
 	// balancerGraceShare is the share of the grace period during which a stopping
 	// host still accepts connections: the load balancer checks once a second and
 	// needs two failed checks to take the host out of service.
@@ -207,6 +210,9 @@
 	if received == nil || !f.relayer.CanServe() && time.Since(*received) < maxServerWait {
 		return false
 	}
+	if !f.lender.Ready() && time.Since(*received) < maxLenderWait {
+		return false
+	}
 	f.canServe.Store(true)
 	f.log.Info("ready", "waited", time.Since(*received))
 	return true
@@ -320,6 +326,7 @@
 	if f.service != nil {
 		f.service.StopAccepting()
 	}
+	f.lender.StopLending()
 	f.log.Info("stopping, waiting for the load balancer", "grace", f.settings.Grace)
 	select {
 	case <-ctx.Done():
--- a/internal/host/lender/lender.go
+++ b/internal/host/lender/lender.go
@@ -71,6 +71,8 @@
 	// table is the routing table whose limits are in force.
 	table     *router.Table
 	hasLimits bool
+	// stopping is set by StopLending.
+	stopping bool
 	// lenders and callers are the hosts that this one may ask and that may ask it.
 	lenders []allotter.Lender
 	callers map[netip.Addr]struct{}
@@ -162,6 +164,32 @@
 	return l.allotter.KnowsLending()
 }
 
+// StopLending prepares for the end of this process: the control hosts are told to let others
+// lend, and until then it goes on.
+func (l *Lender) StopLending() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+}
+
+// MayLend implements subscriber.LendingLearner. The control hosts may name another lender as
+// soon as they hear that it returned false.
+func (l *Lender) MayLend() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stopping {
+		l.allotter.Retire()
+	}
+	return !l.stopping && l.config.Address.IsValid()
+}
+
+// Ready reports whether requests of accounts with a limit can be granted.
+func (l *Lender) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.hasLimits || l.allotter.KnowsLending()
+}
+
 // Take implements relayer.Allowances.
 func (l *Lender) Take(ctx context.Context, a *router.Account) (wait time.Duration, ok bool) {
 	now := time.Now()
--- a/internal/host/lender/lender_test.go
+++ b/internal/host/lender/lender_test.go
@@ -221,3 +221,21 @@
 	require.Equal(t, burst, granted)
 	require.EqualValues(t, 0, b.count("unanswered"), "a lender that refuses a caller replies")
 }
+
+// TestStopLending guards against a host that lends on after the control hosts may have named
+// another one.
+func TestStopLending(t *testing.T) {
+	a, b := newTestHost(t, 50, true), newTestHost(t, 51, true)
+	introduce(t, a.address, a, b)
+	b.warm(t, a.address)
+	require.True(t, a.lender.Ready())
+	require.True(t, a.lender.MayLend())
+	a.lender.StopLending()
+	_, ok := b.lender.Take(t.Context(), account())
+	require.True(t, ok, "the control hosts do not know it yet")
+	require.False(t, a.lender.MayLend())
+	for _, h := range []*testHost{a, b} {
+		_, ok = h.lender.Take(t.Context(), account())
+		require.False(t, ok)
+	}
+}
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -62,6 +62,11 @@
 	Hosts, Absent int
 }
 
+// Equal reports whether two values are the same.
+func (l Lending) Equal(o Lending) bool {
+	return l.Known == o.Known && l.Hosts == o.Hosts && l.Absent == o.Absent && slices.Equal(l.Lenders, o.Lenders)
+}
+
 // presentShare returns the share of the hosts that is not absent.
 func (l Lending) presentShare() float64 {
 	if l.Hosts <= 0 {
@@ -87,6 +92,8 @@
 	// lent and spare hold the buckets of the accounts of which this host is the lender or
 	// the backup. own holds this host's own share of each account.
 	lent, spare, own map[string]*bucket
+	// retired is set once this host lends no more.
+	retired bool
 	// failures holds the lenders that did not reply the last time.
 	failures map[netip.AddrPort]*failure
 }
@@ -121,12 +128,16 @@
 
 // Move changes the place of this host among the entry hosts.
 func (a *Allotter) Move(now time.Time, position pacer.Position) {
-	a.change(now, func() { a.position = position })
+	if position != a.position {
+		a.change(now, func() { a.position = position })
+	}
 }
 
 // SetLending replaces the lenders.
 func (a *Allotter) SetLending(now time.Time, l Lending) {
-	a.change(now, func() { a.lending = l })
+	if !l.Equal(a.lending) {
+		a.change(now, func() { a.lending = l })
+	}
 }
 
 // Contact records the time of the last contact with the control hosts. It has to be called
@@ -248,6 +259,7 @@
 	for i, address := range []netip.AddrPort{g.lender, g.backup} {
 		switch {
 		case !address.IsValid():
+		case address == a.address && a.retired:
 		case address == a.address:
 			steps = append(steps, Step{Here: true, Address: address, Backup: i > 0})
 		case a.mayAsk(now, address):
@@ -298,7 +310,7 @@
 // Lend grants a request as the lender of an account or as its backup, or tells after what
 // time there will be room.
 func (a *Allotter) Lend(now time.Time, name string, backup bool) (Verdict, time.Duration) {
-	if a.Mode(now) != InTouch {
+	if a.Mode(now) != InTouch || a.retired {
 		return NotLender, 0
 	}
 	if _, ok := a.limits[name]; !ok {
@@ -325,7 +337,12 @@
 	if b == nil {
 		return lostWait, false
 	}
-	return b.take(now, a.ownShare(now, name))
+	wait, ok = b.take(now, a.ownShare(now, name))
+	if a.Mode(now) == InTouch {
+		// The lender will reply again or be replaced before this share has room.
+		wait = min(wait, lostWait)
+	}
+	return wait, ok
 }
 
 // Restore gives a lender back what was taken for requests that did not run.
@@ -346,8 +363,12 @@
 	}
 }
 
-// Lenders returns the lenders that this host knows.
-func (a *Allotter) Lenders() []Lender { return a.lending.Lenders }
+// Retire makes this host lend no more, because it is about to stop. It has to be called
+// before the control hosts are told that it does not.
+func (a *Allotter) Retire() { a.retired = true }
+
+// Lending returns what this host knows of the lenders.
+func (a *Allotter) Lending() Lending { return a.lending }
 
 // KnowsLending reports whether this host was told of the lenders and has not lost contact
 // since.
--- a/internal/route/allotter/simulation_test.go
+++ b/internal/route/allotter/simulation_test.go
@@ -157,7 +157,7 @@
 
 func (s *simulation) report(h *simHost) HostReport {
 	r := HostReport{Name: h.name, Zone: fmt.Sprint(h.number % simZones), Address: h.address, Position: -1}
-	for _, l := range h.allotter.Lenders() {
+	for _, l := range h.allotter.Lending().Lenders {
 		if l.Address == h.address {
 			r.Position, r.Fleet = l.Position, h.allotter.lending.Hosts+h.allotter.lending.Absent
 		}
@@ -183,7 +183,7 @@
 		if known {
 			h.allotter.SetLending(s.now, lending)
 			h.lending = number
-		} else if len(h.allotter.Lenders()) == 0 {
+		} else if len(h.allotter.Lending().Lenders) == 0 {
 			h.lending = 0
 		}
 	}
--- a/test/soak/allowance_test.go
+++ b/test/soak/allowance_test.go
@@ -85,7 +85,7 @@
 }
 
 // TestAllowance guards against an account that runs more than its limit over all hosts while
-// hosts end and freeze, that cannot use its limit in calm, or whose excess makes others fail.
+// hosts end, stop and freeze, that cannot use its limit in calm, or whose excess makes others fail.
 func TestAllowance(t *testing.T) {
 	f := startFleet(t, 97, allowanceHosts)
 	operator := standin.Operator{ControlAddresses: f.system.ControlAddresses}
@@ -117,15 +117,20 @@
 	calmSentInCalm, calmRefusedInCalm := calmSent.Load(), calmRefused.Load()
 	for n := 0; time.Since(begin) < 6*time.Second+allowanceLength; n++ {
 		p := f.system.Relays[rand.IntN(len(f.system.Relays))]
-		if n%2 == 0 {
+		switch n % 3 {
+		case 0:
 			require.NoError(t, p.Signal(syscall.SIGKILL))
 			p.Wait(time.Second)
 			time.Sleep(time.Duration(rand.IntN(2000)) * time.Millisecond)
 			require.NoError(t, p.Restart())
-		} else {
+		case 1:
 			require.NoError(t, p.Signal(syscall.SIGSTOP))
 			time.Sleep(time.Duration(500+rand.IntN(4500)) * time.Millisecond)
 			require.NoError(t, p.Signal(syscall.SIGCONT))
+		default:
+			require.NoError(t, p.Signal(syscall.SIGTERM))
+			p.Wait(stopLimit)
+			require.NoError(t, p.Restart())
 		}
 	}
 	close(stop)
