allotter, lender: hosts out of touch go on asking lenders; lenders are named at once after a restart of all

Change: a host that loses contact goes on asking the lenders that it knew; those in touch reply, count it as present (it asks all of them once a second), and so do not leave a part of the allowance to it. A new leader that hears in 0.5 s from hosts of which none knows lenders names them at once; otherwise it names those that say that they lend to hosts that know none. Until a host has first heard of lenders it grants one request an account.

--- a/internal/control/server/lenders.go
+++ b/internal/control/server/lenders.go
@@ -24,6 +24,10 @@
 	// The fingerprints are 0 while they are unknown.
 	lending, full                       *messenger.Lending
 	lendingFingerprint, fullFingerprint uint64
+	// claimed is sent to hosts that know no lender while this leader has led for too short a
+	// time to decide.
+	claimed            *messenger.Lending
+	claimedFingerprint uint64
 }
 
 // newLenderTracker returns the tracker of a leader that begins to receive watch requests at
@@ -40,7 +44,7 @@
 		return
 	}
 	t.wanted = t.wanted || r.GetAccounts()
-	report := allotter.HostReport{Name: r.GetHost(), Zone: r.GetZone(), Position: int(r.GetLends()) - 1, Fleet: int(r.GetFleet())}
+	report := allotter.HostReport{Name: r.GetHost(), Zone: r.GetZone(), Position: int(r.GetLends()) - 1, Fleet: int(r.GetFleet()), Informed: r.GetLending() != 0}
 	// Hosts of the release before accounts do not lend.
 	if address, err := netip.ParseAddrPort(r.GetPeer()); err == nil && r.GetLender() {
 		report.Address = address
@@ -53,15 +57,13 @@
 	l, known := t.roster.Lending(now)
 	if !known || !t.wanted {
 		t.lending, t.full, t.lendingFingerprint, t.fullFingerprint = nil, nil, 0, 0
+		t.claimed, t.claimedFingerprint = nil, 0
+		if claimed := t.roster.Claimed(now); t.wanted && len(claimed) > 0 {
+			t.claimed, _, t.claimedFingerprint = encodeLenders(claimed)
+		}
 		return
 	}
-	lending := &messenger.Lending{}
-	digest := xxhash.New()
-	for _, lender := range l.Lenders {
-		lending.Lenders = append(lending.Lenders, &messenger.Lender{Address: lender.Address.String(), Position: uint32(lender.Position)})
-		_, _ = fmt.Fprintln(digest, lender.Address, lender.Position)
-	}
-	fingerprint := max(digest.Sum64(), 1)
+	lending, digest, fingerprint := encodeLenders(l.Lenders)
 	if fingerprint != t.lendingFingerprint && len(lending.GetLenders()) > 0 {
 		logger.Info("lenders of client accounts changed", "lenders", len(lending.GetLenders()), "hosts", l.Hosts, "absent", l.Absent)
 	}
@@ -78,9 +80,24 @@
 	t.full, t.fullFingerprint = full, max(digest.Sum64(), 1)
 }
 
-// current returns what a host is told, with its fingerprint.
-func (t *lenderTracker) current(host string) (*messenger.Lending, uint64) {
-	if t.roster.IsLender(host) {
+// encodeLenders returns the message with a list of lenders, the digest of the list and its
+// fingerprint, which is not 0.
+func encodeLenders(list []allotter.Lender) (*messenger.Lending, *xxhash.Digest, uint64) {
+	m := &messenger.Lending{}
+	digest := xxhash.New()
+	for _, lender := range list {
+		m.Lenders = append(m.Lenders, &messenger.Lender{Address: lender.Address.String(), Position: uint32(lender.Position)})
+		_, _ = fmt.Fprintln(digest, lender.Address, lender.Position)
+	}
+	return m, digest, max(digest.Sum64(), 1)
+}
+
+// current returns what the host that sent a request is told, with its fingerprint.
+func (t *lenderTracker) current(r *messenger.WatchRequest) (*messenger.Lending, uint64) {
+	switch {
+	case t.lending == nil && r.GetLending() == 0:
+		return t.claimed, t.claimedFingerprint
+	case t.roster.IsLender(r.GetHost()):
 		return t.full, t.fullFingerprint
 	}
 	return t.lending, t.lendingFingerprint
@@ -88,7 +105,7 @@
 
 // isNews reports whether a host that has accounts lacks the lenders.
 func (t *lenderTracker) isNews(r *messenger.WatchRequest) bool {
-	_, fingerprint := t.current(r.GetHost())
+	_, fingerprint := t.current(r)
 	return r.GetAccounts() && fingerprint != 0 && fingerprint != r.GetLending()
 }
 
@@ -97,7 +114,7 @@
 	if !r.GetAccounts() {
 		return
 	}
-	lending, fingerprint := t.current(r.GetHost())
+	lending, fingerprint := t.current(r)
 	reply.Lending = fingerprint
 	if fingerprint != r.GetLending() {
 		reply.Lent = lending
--- a/internal/host/lender/lender.go
+++ b/internal/host/lender/lender.go
@@ -273,14 +273,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return messenger.NewRelayClient(conn).Take(ctx, &messenger.TakeRequest{Account: account, Backup: s.Backup})
+	return messenger.NewRelayClient(conn).Take(ctx, &messenger.TakeRequest{Account: account, Backup: s.Backup, Apart: l.isApart()})
+}
+
+// isApart reports whether this host is out of touch with the control hosts.
+func (l *Lender) isApart() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.allotter.Mode(time.Now()) != allotter.InTouch
 }
 
 // recordAnswer records that a lender replied.
 func (l *Lender) recordAnswer(address netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.allotter.Answered(address) {
+	if l.allotter.Answered(time.Now(), address) {
 		l.config.Log.Info("lender replies again", "host", address)
 	}
 }
--- a/internal/host/lender/run.go
+++ b/internal/host/lender/run.go
@@ -16,8 +16,9 @@
 // Run gives back requests and keeps the connections to lenders until ctx ends.
 func (l *Lender) Run(ctx context.Context) error {
 	defer l.conns.Close()
-	ticker := time.NewTicker(checkInterval)
+	ticker, pings := time.NewTicker(checkInterval), time.NewTicker(allotter.PingInterval)
 	defer ticker.Stop()
+	defer pings.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -26,10 +27,35 @@
 			l.giveBack(ctx)
 		case <-ticker.C:
 			l.check()
+		case <-pings.C:
+			l.ping(ctx)
 		}
 	}
 }
 
+// ping tells the lenders of this host while it is out of touch with the control hosts, so
+// that they do not leave a part of the allowances to it.
+func (l *Lender) ping(ctx context.Context) {
+	if !l.HasLimits() || !l.isApart() {
+		return
+	}
+	l.mu.Lock()
+	lenders := slices.Clone(l.lenders)
+	l.mu.Unlock()
+	for _, o := range lenders {
+		if o.Address == l.config.Address {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, giveTime)
+			defer cancel()
+			if _, err := l.ask(ctx, allotter.Step{Address: o.Address}, ""); err == nil {
+				l.recordAnswer(o.Address)
+			}
+		}()
+	}
+}
+
 // giveBack sends what there is to give back. What cannot be delivered is lost: the account
 // is then refused slightly early.
 func (l *Lender) giveBack(ctx context.Context) {
--- a/internal/host/lender/service.go
+++ b/internal/host/lender/service.go
@@ -22,6 +22,11 @@
 	if !s.lender.isCaller(caller) {
 		return nil, false
 	}
+	if r.GetApart() {
+		s.lender.mu.Lock()
+		s.lender.allotter.Heard(time.Now(), caller)
+		s.lender.mu.Unlock()
+	}
 	verdict, wait := s.lender.lend(r.GetAccount(), r.GetBackup())
 	s.lender.config.Scope.Counter("served").Inc(1)
 	reply := &messenger.TakeReply{Verdict: uint32(verdict)}
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -5,8 +5,9 @@
 // else may grant requests at the same time is part of what the bound of the platform allows
 // beyond the limit, and is divided in advance: the backup of the lender and the hosts' own
 // shares together never get more than that. The bound so holds whichever hosts reach each
-// other. A host that has lost the control hosts for long enough to be missed there uses its
-// full share, which the lender then leaves to it.
+// other. A host that has lost the control hosts goes on asking the lenders that it knows, of
+// which those in touch reply. One that has lost them too, for long enough to be missed
+// everywhere, uses its full share, which the lenders then leave to it.
 package allotter
 
 import (
@@ -19,12 +20,18 @@
 
 const (
 	// TouchTime is the time after the last contact with the control hosts from which a host
-	// asks no lender, is none, and forgets who they are.
+	// is no lender: another one may have taken its place.
 	TouchTime = 3 * time.Second
-	// aloneAfter is the time after the last contact from which a host uses its full share.
-	// By then the control hosts have missed it for ForgetTime, counted from a reply that
-	// may have been held for 2 s and lost on the way, and have told the lenders.
+	// aloneAfter is the time after the last contact, and after the last reply of a lender,
+	// from which a host uses its full share. By then the control hosts have missed it for
+	// ForgetTime, counted from a reply that may have been held for 2 s and lost on the way,
+	// and have told the lenders, which have not heard from it for longer than heardTime.
 	aloneAfter = 7 * time.Second
+	// heardTime is how long a lender counts a host as present that is out of touch with the
+	// control hosts and has asked it. PingInterval is how often such a host asks all lenders
+	// at least.
+	heardTime    = 3 * time.Second
+	PingInterval = time.Second
 	// aloneUntil is the time after the last contact until which it does. The control hosts
 	// count it as absent for longer.
 	aloneUntil = ForgetTime + AbsentTime - 4*time.Second
@@ -67,12 +74,13 @@
 	return l.Known == o.Known && l.Hosts == o.Hosts && l.Absent == o.Absent && slices.Equal(l.Lenders, o.Lenders)
 }
 
-// presentShare returns the share of the hosts that is not absent.
-func (l Lending) presentShare() float64 {
+// presentShare returns the share of the hosts that is not absent, if this number of those
+// that the control hosts do not hear from has asked this host.
+func (l Lending) presentShare(heard int) float64 {
 	if l.Hosts <= 0 {
 		return 1
 	}
-	return float64(l.Hosts) / float64(l.Hosts+l.Absent)
+	return float64(l.Hosts+min(heard, l.Absent)) / float64(l.Hosts+l.Absent)
 }
 
 // Allotter holds what one host knows of the allowances of accounts. Use New. It is not safe
@@ -85,8 +93,18 @@
 	// position is the place of this host among the entry hosts.
 	position pacer.Position
 	lending  Lending
-	// contactAt is the time of the last contact with the control hosts.
-	contactAt time.Time
+	// stale is set when contact was lost after the lenders were learned. This host then asks
+	// them and is none itself.
+	stale bool
+	// contactAt is the time of the last contact with the control hosts, and answeredAt that
+	// of the last reply of a lender.
+	contactAt  time.Time
+	answeredAt time.Time
+	// heard holds when hosts that are out of touch asked this one last.
+	heard map[netip.Addr]time.Time
+	// begun holds the accounts that have used the request that this host grants before it
+	// has first heard of lenders.
+	begun map[string]struct{}
 	// granters holds, for each account with a limit, its lender and the backup.
 	granters map[string]granters
 	// lent and spare hold the buckets of the accounts of which this host is the lender or
@@ -117,6 +135,7 @@
 	return &Allotter{
 		bounds: bounds, address: address, limits: map[string]Limit{}, granters: map[string]granters{},
 		lent: map[string]*bucket{}, spare: map[string]*bucket{}, own: map[string]*bucket{}, failures: map[netip.AddrPort]*failure{},
+		heard: map[netip.Addr]time.Time{}, begun: map[string]struct{}{},
 	}
 }
 
@@ -135,8 +154,8 @@
 
 // SetLending replaces the lenders.
 func (a *Allotter) SetLending(now time.Time, l Lending) {
-	if !l.Equal(a.lending) {
-		a.change(now, func() { a.lending = l })
+	if a.stale || !l.Equal(a.lending) {
+		a.change(now, func() { a.lending, a.stale = l, false })
 	}
 }
 
@@ -144,21 +163,22 @@
 // before requests, and several times in TouchTime.
 func (a *Allotter) Contact(now, at time.Time) {
 	if at.Sub(a.contactAt) >= TouchTime && !a.contactAt.IsZero() {
-		a.forgetLending(now)
+		a.stopLending(now)
 	}
 	if at.After(a.contactAt) {
 		a.refillOwn(now)
 		a.contactAt = at
 	}
 	if a.Mode(now) != InTouch {
-		a.forgetLending(now)
+		a.stopLending(now)
 	}
 }
 
-// forgetLending forgets the lenders after a loss of contact: others may have taken over.
-func (a *Allotter) forgetLending(now time.Time) {
-	if a.lending.Known {
-		a.SetLending(now, Lending{})
+// stopLending makes this host no lender after a loss of contact, until it is told of the
+// lenders again: others may have taken over.
+func (a *Allotter) stopLending(now time.Time) {
+	if a.lending.Known && !a.stale {
+		a.change(now, func() { a.stale = true })
 	}
 }
 
@@ -170,7 +190,7 @@
 		return Unconnected
 	case age < TouchTime:
 		return InTouch
-	case age >= aloneAfter && age < aloneUntil:
+	case age >= aloneAfter && age < aloneUntil && now.Sub(a.answeredAt) >= aloneAfter:
 		return Alone
 	}
 	return OutOfTouch
@@ -184,8 +204,9 @@
 	for name := range a.limits {
 		a.granters[name] = a.chooseGranters(name)
 	}
-	a.keepBuckets(now, a.lent, startTokens, func(g granters) bool { return g.lender.IsValid() && g.lender == a.address })
-	a.keepBuckets(now, a.spare, 0, func(g granters) bool { return g.backup.IsValid() && g.backup == a.address })
+	lends := a.address.IsValid() && !a.stale
+	a.keepBuckets(now, a.lent, startTokens, func(g granters) bool { return lends && g.lender == a.address })
+	a.keepBuckets(now, a.spare, 0, func(g granters) bool { return lends && g.backup == a.address })
 	a.keepBuckets(now, a.own, 0, func(granters) bool { return true })
 	a.refillAll(now)
 }
@@ -208,7 +229,7 @@
 // refillAll brings all buckets up to date, before and after a change of their shares.
 func (a *Allotter) refillAll(now time.Time) {
 	for name, b := range a.lent {
-		b.refill(now, a.lenderShare(name))
+		b.refill(now, a.lenderShare(now, name))
 	}
 	for name, b := range a.spare {
 		b.refill(now, a.bounds.backupShare(a.limits[name]))
@@ -224,8 +245,23 @@
 }
 
 // lenderShare returns what the lender of an account may grant.
-func (a *Allotter) lenderShare(name string) pacer.Share {
-	return a.bounds.lenderShare(a.limits[name], a.lending.presentShare())
+func (a *Allotter) lenderShare(now time.Time, name string) pacer.Share {
+	heard := 0
+	for address, at := range a.heard {
+		if now.Sub(at) < heardTime {
+			heard++
+		} else {
+			delete(a.heard, address)
+		}
+	}
+	return a.bounds.lenderShare(a.limits[name], a.lending.presentShare(heard))
+}
+
+// Heard records that a host which is out of touch with the control hosts has asked this one.
+func (a *Allotter) Heard(now time.Time, caller netip.Addr) {
+	if _, ok := a.heard[caller]; ok || len(a.heard) < a.lending.Hosts+a.lending.Absent {
+		a.heard[caller] = now
+	}
 }
 
 // ownShare returns what this host may grant on its own.
@@ -249,17 +285,19 @@
 }
 
 // Steps returns the attempts to take a request of an account, in their order. After them
-// the host uses its own share.
+// the host uses its own share. A host that is out of touch asks the lenders that it knew
+// last: those that are lenders still reply.
 func (a *Allotter) Steps(now time.Time, name string) []Step {
 	g, ok := a.granters[name]
-	if !ok || a.Mode(now) != InTouch {
+	if !ok {
 		return nil
 	}
+	lends := a.Mode(now) == InTouch && !a.stale && !a.retired
 	steps := make([]Step, 0, 2)
 	for i, address := range []netip.AddrPort{g.lender, g.backup} {
 		switch {
 		case !address.IsValid():
-		case address == a.address && a.retired:
+		case address == a.address && !lends:
 		case address == a.address:
 			steps = append(steps, Step{Here: true, Address: address, Backup: i > 0})
 		case a.mayAsk(now, address):
@@ -283,7 +321,8 @@
 }
 
 // Answered records the reply of a lender and reports whether it had not replied before.
-func (a *Allotter) Answered(address netip.AddrPort) bool {
+func (a *Allotter) Answered(now time.Time, address netip.AddrPort) bool {
+	a.answeredAt = now
 	_, failed := a.failures[address]
 	delete(a.failures, address)
 	return failed
@@ -310,13 +349,13 @@
 // Lend grants a request as the lender of an account or as its backup, or tells after what
 // time there will be room.
 func (a *Allotter) Lend(now time.Time, name string, backup bool) (Verdict, time.Duration) {
-	if a.Mode(now) != InTouch || a.retired {
+	if a.Mode(now) != InTouch || a.stale || a.retired {
 		return NotLender, 0
 	}
 	if _, ok := a.limits[name]; !ok {
 		return UnknownAccount, 0
 	}
-	b, share := a.lent[name], a.lenderShare(name)
+	b, share := a.lent[name], a.lenderShare(now, name)
 	if backup {
 		b, share = a.spare[name], a.bounds.backupShare(a.limits[name])
 	}
@@ -337,6 +376,12 @@
 	if b == nil {
 		return lostWait, false
 	}
+	if _, used := a.begun[name]; !used && !a.lending.Known {
+		// After a restart of all hosts it takes some tenths of a second until lenders are
+		// named, and no account has used anything just before.
+		a.begun[name] = struct{}{}
+		return 0, true
+	}
 	wait, ok = b.take(now, a.ownShare(now, name))
 	if a.Mode(now) == InTouch {
 		// The lender will reply again or be replaced before this share has room.
@@ -352,7 +397,7 @@
 	case backup && a.spare[name] != nil:
 		a.spare[name].add(now, count, a.bounds.backupShare(a.limits[name]))
 	case !backup && a.lent[name] != nil:
-		a.lent[name].add(now, count, a.lenderShare(name))
+		a.lent[name].add(now, count, a.lenderShare(now, name))
 	}
 }
 
@@ -372,7 +417,7 @@
 
 // KnowsLending reports whether this host was told of the lenders and has not lost contact
 // since.
-func (a *Allotter) KnowsLending() bool { return a.lending.Known }
+func (a *Allotter) KnowsLending() bool { return a.lending.Known && !a.stale }
 
 // IsLender reports whether this host is one.
 func (a *Allotter) IsLender() bool {
--- a/internal/route/allotter/mode.go
+++ b/internal/route/allotter/mode.go
@@ -9,12 +9,13 @@
 const (
 	// Unconnected hosts have had no contact with the control hosts and grant nothing.
 	Unconnected Mode = iota // unconnected
-	// InTouch hosts ask the lenders, and use a small share of their own if these do not
-	// reply.
+	// InTouch hosts ask the lenders, may lend, and use a small share of their own if no
+	// lender replies.
 	InTouch // in touch
-	// OutOfTouch hosts have that share alone.
+	// OutOfTouch hosts do the same, but do not lend.
 	OutOfTouch // out of touch
-	// Alone hosts have their part of the limit, because the control hosts miss them.
+	// Alone hosts have heard neither from the control hosts nor from lenders for so long
+	// that these miss them, and use their part of the limit.
 	Alone // alone
 )
 
--- a/internal/route/allotter/roster.go
+++ b/internal/route/allotter/roster.go
@@ -22,6 +22,9 @@
 	// It is also the silence of a host up to which it becomes a lender. Watch requests are
 	// held for up to 2 s.
 	calmSilence = 2500 * time.Millisecond
+	// settleTime is the time in which a new leader hears from all hosts that reach it. If
+	// none of them knows lenders, the whole system has started again.
+	settleTime = 500 * time.Millisecond
 	// pauseTime is the time between two calls of Lending from which the leader counts as
 	// having been suspended. It then does not know who fell silent meanwhile.
 	pauseTime = time.Second
@@ -37,6 +40,8 @@
 	// that it knows of as a lender.
 	Position int
 	Fleet    int
+	// Informed is true if it knows who lends.
+	Informed bool
 }
 
 // rosterHost is a host that the leader has heard of.
@@ -59,6 +64,8 @@
 	// Those that it has not heard of since may use their own shares.
 	fleet   int
 	claimed bool
+	// settled is set once Lending has told who lends.
+	settled bool
 	// lastAt is the time of the last call of Lending.
 	lastAt time.Duration
 }
@@ -95,12 +102,13 @@
 // a time to know that.
 func (r *Roster) Lending(now time.Duration) (Lending, bool) {
 	if len(r.hosts) > 0 && r.lastAt > 0 && now-r.lastAt > pauseTime {
-		r.startedAt, r.fleet = now, max(r.fleet, len(r.hosts))
+		r.startedAt, r.fleet, r.settled = now, max(r.fleet, len(r.hosts)), false
 	}
 	r.lastAt = now
-	if now-r.startedAt < ForgetTime {
+	if now-r.startedAt < ForgetTime && !r.settled && (now-r.startedAt < settleTime || r.anyInformed()) {
 		return Lending{}, false
 	}
+	r.settled = true
 	l := Lending{Known: true}
 	for name, h := range r.hosts {
 		switch silence := now - h.heardAt; {
@@ -127,17 +135,47 @@
 	return l, true
 }
 
+// anyInformed reports whether a host of which the leader has heard knows who lends. Then
+// others that know it, and lend, may still be silent.
+func (r *Roster) anyInformed() bool {
+	for _, h := range r.hosts {
+		if h.Informed {
+			return true
+		}
+	}
+	return len(r.hosts) == 0
+}
+
+// Claimed returns the hosts that say that they lend, for hosts that know no lender while
+// Lending does not tell. It is empty before settleTime.
+func (r *Roster) Claimed(now time.Duration) []Lender {
+	if now-r.startedAt < settleTime {
+		return nil
+	}
+	var list []Lender
+	for _, h := range r.hosts {
+		if h.Position >= 0 && h.Position < MaxLenders && h.Address.IsValid() && now-h.heardAt <= calmSilence {
+			list = append(list, Lender{Address: h.Address, Position: h.Position})
+		}
+	}
+	slices.SortFunc(list, func(a, b Lender) int {
+		return cmp.Or(cmp.Compare(a.Position, b.Position), a.Address.Compare(b.Address))
+	})
+	return slices.CompactFunc(list, func(a, b Lender) bool { return a.Position == b.Position })
+}
+
 // IsLender reports whether a host holds a position.
 func (r *Roster) IsLender(name string) bool {
 	h := r.hosts[name]
 	return h != nil && h.lends
 }
 
-// Addresses returns the addresses of the hosts that may ask lenders.
+// Addresses returns the addresses of the hosts that may ask lenders. Hosts that are only out
+// of touch with the leader may.
 func (r *Roster) Addresses(now time.Duration) []netip.AddrPort {
 	var list []netip.AddrPort
 	for _, h := range r.hosts {
-		if h.Address.IsValid() && now-h.heardAt <= ForgetTime {
+		if h.Address.IsValid() && now-h.heardAt <= ForgetTime+AbsentTime {
 			list = append(list, h.Address)
 		}
 	}
