--- a/internal/host/lender/lender.go
+++ b/internal/host/lender/lender.go
@@ -194,7 +194,11 @@
 func (l *Lender) Take(ctx context.Context, a *router.Account) (wait time.Duration, ok bool) {
 	now := time.Now()
 	end := now.Add(askTime)
-	steps := l.steps(now, a.Name)
+	steps, wait, quiet := l.steps(now, a.Name)
+	if quiet {
+		l.config.Scope.Counter("refused").Inc(1)
+		return wait, false
+	}
 	for i, s := range steps {
 		limit := end
 		if i+1 < len(steps) {
@@ -215,13 +219,16 @@
 	return l.takeOwn(a.Name, wait)
 }
 
-// steps returns the attempts to take a request.
-func (l *Lender) steps(now time.Time, account string) []allotter.Step {
+// steps returns the attempts to take a request, or the time to wait if there are to be none.
+func (l *Lender) steps(now time.Time, account string) (steps []allotter.Step, wait time.Duration, quiet bool) {
 	contactAt := l.config.ContactAt()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allotter.Contact(now, contactAt)
-	return l.allotter.Steps(now, account)
+	if wait, quiet := l.allotter.Quiet(now, account); quiet {
+		return nil, wait, true
+	}
+	return l.allotter.Steps(now, account), 0, false
 }
 
 // takeOwn takes a request from this host's own share. The caller waits for the backup of the
@@ -257,7 +264,11 @@
 	switch {
 	case err == nil:
 		l.recordAnswer(s.Address)
-		return allotter.Verdict(reply.GetVerdict()), reply.GetWait().AsDuration()
+		verdict, wait := allotter.Verdict(reply.GetVerdict()), reply.GetWait().AsDuration()
+		if verdict == allotter.Refused && !s.Backup {
+			l.recordRefusal(account, wait)
+		}
+		return verdict, wait
 	case status.Code(err) == codes.PermissionDenied:
 		// The lender was not yet told of this host.
 		l.recordAnswer(s.Address)
@@ -285,6 +296,13 @@
 	}
 }
 
+// recordRefusal records that the lender of an account refused a request.
+func (l *Lender) recordRefusal(account string, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.allotter.Refused(time.Now(), account, wait)
+}
+
 // recordFailure records that a lender did not reply.
 func (l *Lender) recordFailure(address netip.AddrPort, err error) {
 	l.config.Scope.Counter("unanswered").Inc(1)
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -36,6 +36,11 @@
 	maxRest = time.Second
 	// trialTime is how long other requests do not ask a lender that one asks after a rest.
 	trialTime = 100 * time.Millisecond
+	// maxQuiet is how long a host asks for no request of an account that is far over its
+	// limit, at most quietBurstShare of the time in which the burst refills, so that no
+	// allowance is lost.
+	maxQuiet        = 250 * time.Millisecond
+	quietBurstShare = 0.25
 )
 
 // Limit is the limit of an account: requests a second, and requests at once.
@@ -96,6 +101,14 @@
 	retired bool
 	// failures holds the lenders that did not reply the last time.
 	failures map[netip.AddrPort]*failure
+	// quiet holds the accounts that are far over their limit.
+	quiet map[string]quiet
+}
+
+// quiet is until when no request of an account is asked for, and how long callers wait.
+type quiet struct {
+	until time.Time
+	wait  time.Duration
 }
 
 // granters are the lender of an account and the one that is asked if it does not reply. An
@@ -117,6 +130,7 @@
 	return &Allotter{
 		bounds: bounds, address: address, limits: map[string]Limit{}, granters: map[string]granters{},
 		lent: map[string]*bucket{}, spare: map[string]*bucket{}, own: map[string]*bucket{}, failures: map[netip.AddrPort]*failure{},
+		quiet: map[string]quiet{},
 	}
 }
 
@@ -181,6 +195,7 @@
 	a.refillAll(now)
 	apply()
 	clear(a.granters)
+	clear(a.quiet)
 	for name := range a.limits {
 		a.granters[name] = a.chooseGranters(name)
 	}
@@ -275,6 +290,25 @@
 	return f == nil || !now.Before(f.restsUntil)
 }
 
+// Refused records that the lender refused a request and told its caller to wait. A wait beyond
+// promiseTime shows that the account is far over its limit.
+//
+// The load that it answers: an account at several times its limit calls all hosts, and its
+// lender, with a fifth of a core, gets a message for each request.
+func (a *Allotter) Refused(now time.Time, name string, wait time.Duration) {
+	if l, ok := a.limits[name]; ok && wait > promiseTime {
+		length := min(maxQuiet, seconds(quietBurstShare*l.Burst/l.Rate))
+		a.quiet[name] = quiet{until: now.Add(length), wait: wait}
+	}
+}
+
+// Quiet returns the wait of a request of an account that is far over its limit, and false if
+// the lender may be asked.
+func (a *Allotter) Quiet(now time.Time, name string) (time.Duration, bool) {
+	q, ok := a.quiet[name]
+	return q.wait, ok && now.Before(q.until)
+}
+
 // Asking records that a lender is asked. After a rest, other requests wait for the result.
 func (a *Allotter) Asking(now time.Time, address netip.AddrPort) {
 	if f := a.failures[address]; f != nil {
