subscriber: hosts with limited accounts do not wait for news at a new leader

Cause: the first watch request to a new leader is held like any other. With a hold of 1.4 s for 200 hosts the time since the last contact exceeds the 3 s after which a host forgets its lenders, and a new leader names none for 4 s. Change: such a host asks a new leader for a reply at once.

--- a/internal/control/subscriber/lending.go
+++ b/internal/control/subscriber/lending.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// firstHold returns how long a new leader may hold the first watch request. A host that has
+// accounts with a limit needs the reply at once: without contact for allotter.TouchTime it
+// would lose its lenders until the leader knows the fleet.
+func (w *Watcher) firstHold(hold time.Duration) time.Duration {
+	if w.config.Lending != nil && w.config.Lending.HasLimits() {
+		return 0
+	}
+	return hold
+}
+
 // forgetLending makes the leader send the lenders again.
 func (w *Watcher) forgetLending() {
 	next := w.State()
--- a/internal/control/subscriber/lending_test.go
+++ b/internal/control/subscriber/lending_test.go
@@ -80,6 +80,8 @@
 	reply.Lending, reply.Lent = 0, nil
 	receive(time.Now().Add(allotter.TouchTime))
 	require.False(t, w.State().Lending.Known)
+	require.Zero(t, w.firstHold(time.Second))
 	learner.limits = false
 	require.False(t, request().GetAccounts())
+	require.Equal(t, time.Second, w.firstHold(time.Second))
 }
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -205,6 +205,7 @@
 				continue
 			}
 			timeout = firstWatchTimeout
+			hold = w.firstHold(hold)
 		}
 		w.watchLeader(ctx, hold, timeout)
 		wait(ctx, minWatchPause)
--- a/test/soak/allowance_test.go
+++ b/test/soak/allowance_test.go
@@ -143,3 +143,35 @@
 	require.Positive(t, refused.Load())
 	require.Zero(t, calmRefusedInCalm)
 }
+
+// TestAllowanceOfNewLeader guards against accounts that lose their lenders, and with them
+// nearly all of their limit, while the control hosts choose another leader.
+func TestAllowanceOfNewLeader(t *testing.T) {
+	f := startFleet(t, 98, allowanceHosts)
+	operator := standin.Operator{ControlAddresses: f.system.ControlAddresses}
+	acked, failure := operator.PublishText(2, standin.DocumentOf(2, 0, hot, calm), recoveryLimit)
+	require.True(t, acked, failure)
+	time.Sleep(6 * time.Second)
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	var sent, refused atomic.Int64
+	f.sendAs(&group, stop, hot, 0.5*hot.Rate, func(o standin.Outcome) {
+		sent.Add(1)
+		if o.Status == http.StatusTooManyRequests {
+			refused.Add(1)
+		}
+	})
+	// One of the three is the leader, and two are a majority.
+	for _, p := range f.system.Members[:members] {
+		require.NoError(t, p.Signal(syscall.SIGKILL))
+		p.Wait(time.Second)
+		time.Sleep(time.Second)
+		require.NoError(t, p.Restart())
+		time.Sleep(5 * time.Second)
+	}
+	close(stop)
+	group.Wait()
+	t.Logf("%d sent, %d refused", sent.Load(), refused.Load())
+	require.Positive(t, sent.Load())
+	require.LessOrEqual(t, refused.Load(), sent.Load()/100)
+}
