admitter: the sent share grows back with time

Cause: the share of a throttle grew only with answers, by about 0.0075 each. A host of a fleet of 54 sends two requests a second, so after congestion that had ended requests were still dropped for up to a minute.

Change: the share also grows by 0.2 a second. It concerns all customers, with and without accounts.

--- a/internal/route/admitter/admitter.go
+++ b/internal/route/admitter/admitter.go
@@ -25,6 +25,10 @@
 	// by shareIncrease plus shareGrowth times the share.
 	shareIncrease = 0.005
 	shareGrowth   = 0.005
+	// recoveryRate raises the share with time, by this much a second. A host of a large
+	// fleet sends two requests a second; by its answers alone, its share took a minute to
+	// grow back after congestion that had ended.
+	recoveryRate = 0.2
 	// congestedWaitingPerSlot is the number of waiting requests per slot at which a
 	// server counts as congested.
 	congestedWaitingPerSlot = 1
@@ -65,12 +69,14 @@
 	droppedShare float64
 	// lastDecrease is when the sent share was last decreased.
 	lastDecrease time.Time
+	// adjustedAt is when droppedShare was last adjusted.
+	adjustedAt time.Time
 }
 
 // Observe adjusts the share after an answer, received at now, to a request that was
 // sent at sent.
 func (t *Throttle) Observe(now, sent time.Time, congested bool) {
-	share := 1 - t.droppedShare
+	share := t.share(now)
 	if congested {
 		if sent.Before(t.lastDecrease) {
 			return
@@ -81,13 +87,22 @@
 		share += shareIncrease + shareGrowth*share
 	}
 	t.droppedShare = 1 - min(max(share, minShare), 1)
+	t.adjustedAt = now
 }
 
-// SentShare returns the share of requests with the given priority that are sent. There
+// share returns the share of requests that are sent at a time.
+func (t *Throttle) share(now time.Time) float64 {
+	if t.droppedShare <= 0 {
+		return 1
+	}
+	return min(1, 1-t.droppedShare+recoveryRate*max(0, now.Sub(t.adjustedAt).Seconds()))
+}
+
+// SentShare returns the share of requests with the given priority that are sent at a time. There
 // are priorityCount priorities, 0 being the highest. Requests of lower priority are
 // dropped first.
-func (t *Throttle) SentShare(priority, priorityCount int) float64 {
-	share := 1 - t.droppedShare
+func (t *Throttle) SentShare(now time.Time, priority, priorityCount int) float64 {
+	share := t.share(now)
 	if share >= 1 || priorityCount <= 1 {
 		return share
 	}
--- a/internal/route/admitter/admitter_test.go
+++ b/internal/route/admitter/admitter_test.go
@@ -63,7 +63,7 @@
 			pending = pending[1:]
 		}
 		total++
-		if throttle != nil && r.Float64() >= throttle.SentShare(0, 1) {
+		if throttle != nil && r.Float64() >= throttle.SentShare(epoch.Add(now), 0, 1) {
 			continue
 		}
 		at, waiting, ok := q.arrive(now, r)
@@ -100,7 +100,7 @@
 	for seed := range uint64(5) {
 		throttle := &Throttle{}
 		simulate(newFakeServer(9, 54, 15*time.Millisecond), 240, 20*time.Second, 100*time.Millisecond, throttle, seed)
-		require.InDelta(t, 1, throttle.SentShare(0, 1), 0.001, "seed %d", seed)
+		require.InDelta(t, 1, throttle.SentShare(epoch.Add(20*time.Second), 0, 1), 0.001, "seed %d", seed)
 	}
 }
 
@@ -123,7 +123,7 @@
 		priorityCount := rapid.IntRange(1, 5).Draw(t, "ranks")
 		last := 1.0
 		for priority := range priorityCount {
-			share := throttle.SentShare(priority, priorityCount)
+			share := throttle.SentShare(epoch, priority, priorityCount)
 			require.LessOrEqual(t, share, last)
 			require.Greater(t, share, 0.0)
 			last = share
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -32,7 +32,7 @@
 	var limitedServices []string
 	for i := range q.shards {
 		s := &q.shards[i]
-		share := r.throttle(s.service).SentShare(q.table.Rank(q.route, q.account), q.table.RankCount())
+		share := r.throttle(s.service).SentShare(now, q.table.Rank(q.route, q.account), q.table.RankCount())
 		if share < 1 && r.rand.Float64() >= share {
 			s.noMoreSends = true
 			q.congestedShards++
