admitter, relayer: accounts beyond their usual demand are refused first

Cause: a congested service dropped requests by rank alone, so a burst of one account was paid for by all.

Change: each host counts the requests of each account over 4 s and over a minute, for at most 1,024 accounts. What an account sends beyond its usual number, allowing for chance and for the growth of all others, is dropped before anything else. No request's share falls below 0.3 of that of the most urgent one. Without accounts in the document nothing changes. Requests without an account, on public routes, count together. Refusals are counted by reason, rank and whether the account was over.

--- a/internal/route/admitter/admitter.go
+++ b/internal/route/admitter/admitter.go
@@ -102,7 +102,12 @@
 // are priorityCount priorities, 0 being the highest. Requests of lower priority are
 // dropped first.
 func (t *Throttle) SentShare(now time.Time, priority, priorityCount int) float64 {
-	share := t.share(now)
+	return rankedShare(t.share(now), priority, priorityCount)
+}
+
+// rankedShare returns the share of requests with a priority that are sent if a given share
+// of all is.
+func rankedShare(share float64, priority, priorityCount int) float64 {
 	if share >= 1 || priorityCount <= 1 {
 		return share
 	}
--- a/internal/route/admitter/replay_test.go
+++ b/internal/route/admitter/replay_test.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -25,8 +26,10 @@
 	replayLength = 20 * time.Second
 	// faultStart is when the replayed fault begins.
 	faultStart = 6 * time.Second
-	hop        = 900 * time.Microsecond
-	transit    = 3 * time.Millisecond
+	// warmUp is how long accounts are seen at their usual rates before the replay.
+	warmUp  = 40 * time.Second
+	hop     = 900 * time.Microsecond
+	transit = 3 * time.Millisecond
 	// serverRoom is the number of requests that wait at a server before it sheds.
 	serverRoom = 24
 )
@@ -62,6 +65,9 @@
 	// to the end if lasting is set.
 	burst, hot float64
 	lasting    bool
+	// unfair decides without regard to accounts. ranked gives every second account a lower
+	// priority.
+	unfair, ranked bool
 }
 
 // tally counts outcomes of first tries, by their second.
@@ -107,6 +113,7 @@
 type replayHost struct {
 	throttles [replayShards]Throttle
 	tokens    [replayShards]float64
+	demand    Demand
 	latency   map[*replayServer]float64
 	inFlight  map[*replayServer]int
 	loads     map[*replayServer]replayLoad
@@ -154,6 +161,8 @@
 	bySecond    map[int]*tally
 	byKind      map[string]*tally
 	byGroup     map[string]*tally
+	// inFaultByGroup counts the groups of accounts during the fault only.
+	inFaultByGroup map[string]*tally
 }
 
 // accountRates returns the usual rates of the accounts, in requests a second.
@@ -170,9 +179,11 @@
 
 func newReplay(l load, seed uint64) *replay {
 	s := &replay{load: l, r: rand.New(rand.NewPCG(seed, 7)), arrivalRand: rand.New(rand.NewPCG(seed, 8)), rates: accountRates(),
-		bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}}
+		bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}, inFaultByGroup: map[string]*tally{}}
 	for range replayHosts {
-		s.hosts = append(s.hosts, &replayHost{latency: map[*replayServer]float64{}, inFlight: map[*replayServer]int{}, loads: map[*replayServer]replayLoad{}})
+		h := &replayHost{latency: map[*replayServer]float64{}, inFlight: map[*replayServer]int{}, loads: map[*replayServer]replayLoad{}}
+		h.warmUp(s.arrivalRand, s.rates)
+		s.hosts = append(s.hosts, h)
 	}
 	for i := range s.shards {
 		for j := range 3 {
@@ -188,6 +199,17 @@
 	return s
 }
 
+// warmUp records the requests of the time before the replay.
+func (h *replayHost) warmUp(r *rand.Rand, rates []float64) {
+	for at := -warmUp; at < 0; at += time.Second {
+		for account, rate := range rates {
+			for rate /= replayHosts; r.Float64() < rate; rate-- {
+				h.demand.Record(moment(at), strconv.Itoa(account))
+			}
+		}
+	}
+}
+
 func (s *replay) at(t time.Duration, do func()) {
 	s.n++
 	heap.Push(&s.events, event{max(t, s.now), s.n, do})
@@ -256,9 +278,19 @@
 	now := s.now + transit
 	q.plan = gatherer.Plan{Start: moment(now), SoftDeadline: moment(now + q.kind.objective - 2*transit), HardDeadline: moment(q.deadline - 30*time.Millisecond),
 		Objective: q.kind.objective, Shards: replayShards, MinParts: q.kind.minParts}
+	name := strconv.Itoa(q.account)
+	h.demand.Record(moment(now), name)
+	standing := h.demand.Standing(moment(now), name)
+	rank, rankCount := q.kind.priority, 3
+	if s.load.ranked {
+		rank, rankCount = rank+3*(q.account%2), 6
+	}
 	out := make([]bool, replayShards)
 	for i := range out {
-		share := h.throttles[i].SentShare(moment(now), q.kind.priority, 3)
+		share := h.throttles[i].AccountShare(moment(now), rank, rankCount, standing)
+		if s.load.unfair {
+			share = h.throttles[i].SentShare(moment(now), rank, rankCount)
+		}
 		out[i] = share < 1 && s.r.Float64() >= share
 	}
 	left := 0
@@ -463,10 +495,13 @@
 	} else if q.account >= 8 {
 		group = "small"
 	}
+	if s.load.ranked {
+		group += fmt.Sprintf(" of priority %d", q.account%2)
+	}
 	second := int(q.first / time.Second)
 	list := []*tally{entry(s.bySecond, second), entry(s.byKind, q.kind.name), entry(s.byGroup, group)}
 	if second >= 6 && second < 14 {
-		list = append(list, &s.fault)
+		list = append(list, &s.fault, entry(s.inFaultByGroup, group))
 	}
 	if second >= 14 {
 		list = append(list, &s.after)
@@ -520,7 +555,7 @@
 
 // play runs a load with several seeds and adds up the figures.
 func play(t *testing.T, l load) *replay {
-	sum := &replay{bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}}
+	sum := &replay{bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}, inFaultByGroup: map[string]*tally{}}
 	const seeds = 3
 	var results [seeds]*replay
 	var group sync.WaitGroup
@@ -535,10 +570,11 @@
 		addAll(sum.bySecond, s.bySecond)
 		addAll(sum.byKind, s.byKind)
 		addAll(sum.byGroup, s.byGroup)
+		addAll(sum.inFaultByGroup, s.inFaultByGroup)
 	}
 	served, value := sum.worst()
 	t.Logf("%s: fault: %s; after: %s; worst second served %.3f value %.3f; %d refusals", l.name, sum.fault, sum.after, served, value, sum.refusals)
-	for _, m := range []map[string]*tally{sum.byKind, sum.byGroup} {
+	for _, m := range []map[string]*tally{sum.byKind, sum.inFaultByGroup} {
 		for _, key := range slices.Sorted(maps.Keys(m)) {
 			t.Logf("  %s: %s", key, m[key])
 		}
@@ -574,3 +610,23 @@
 		require.Greater(t, s.after.served/s.after.total, c.after, c.name)
 	}
 }
+
+// TestFairShare guards against a burst of one account at the expense of the others, against
+// accounts that are starved, and against accounts that pay for a burst of all.
+func TestFairShare(t *testing.T) {
+	timely := func(s *replay, group string) float64 {
+		return s.inFaultByGroup[group].timely / s.inFaultByGroup[group].total
+	}
+	hot := play(t, load{name: "hot account", lost: 36, hot: 7.5})
+	require.Greater(t, timely(hot, "others"), timely(hot, "largest")+0.1)
+	require.Greater(t, timely(hot, "others"), 0.78)
+	ranked := play(t, load{name: "hot account, priorities", lost: 36, hot: 7.5, ranked: true})
+	require.Greater(t, timely(ranked, "others of priority 1"), timely(ranked, "largest of priority 0")+0.08)
+	burst := play(t, load{name: "burst", lost: 36, burst: 2.4})
+	require.Greater(t, timely(burst, "largest"), timely(burst, "others")-0.03)
+	for _, s := range []*replay{hot, ranked, burst} {
+		for group, g := range s.inFaultByGroup {
+			require.Greater(t, g.served/g.total, 0.25*s.fault.served/s.fault.total, group)
+		}
+	}
+}
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -29,10 +29,11 @@
 	defer r.mu.Unlock()
 	sent := len(q.shards)
 	open := 0
+	q.recordDemand(now)
 	var limitedServices []string
 	for i := range q.shards {
 		s := &q.shards[i]
-		share := r.throttle(s.service).SentShare(now, q.table.Rank(q.route, q.account), q.table.RankCount())
+		share := q.sentShare(now, s.service)
 		if share < 1 && r.rand.Float64() >= share {
 			s.noMoreSends = true
 			q.congestedShards++
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/gatherer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/caller"
@@ -81,6 +82,8 @@
 	table *router.Table
 	// account is the client account of the request, nil if there is none.
 	account *router.Account
+	// standing compares the account to its usual demand.
+	standing admitter.Standing
 	// plan tells when to answer with the parts that have arrived. A request that is not
 	// a fan-out has a plan for a single part.
 	plan gatherer.Plan
@@ -267,6 +270,7 @@
 func (q *query) run(ctx context.Context) Answer {
 	targets, refusal := q.admit()
 	if refusal.Reason != Served {
+		q.countRefusal(refusal.Reason)
 		return refusal
 	}
 	sendCtx, cancelSends := context.WithCancel(ctx)
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -204,6 +204,8 @@
 	links detector.Detector
 	// throttles holds the throttles by service name.
 	throttles map[string]*admitter.Throttle
+	// demand tracks the requests of accounts.
+	demand admitter.Demand
 	// hostCount is the number of hosts among which budgets and connections are
 	// divided.
 	hostCount int
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -30,7 +30,7 @@
 	}
 	r.config.Log.Warn("request late, incomplete or failed", "request", q.id, "route", q.route.Name, "reason", a.Reason, "status", a.Status,
 		"took", took, "objective", q.route.Objective, "late", late, "missing", a.MissingParts, "shards", len(q.shards),
-		"out", q.congestedShards, "limited", q.limitedShards, "delegated", q.delegated,
+		"out", q.congestedShards, "limited", q.limitedShards, "rank", q.table.Rank(q.route, q.account), "over", q.standing.Over(), "delegated", q.delegated,
 		"hedges", q.hedgeCount, "retries", q.retryCount, "table", q.table.Version, "control", r.controlAge())
 }
 
