gatherer: a late answer leaves as soon as it has enough parts

Cause: an answer that missed the objective for lack of parts waited up to three times the objective for all of them. One further part of 36 adds a twentieth to its value; under overload the servers work on it while other requests wait.

Change: after the objective, an answer is sent as soon as it has the least number of parts. It concerns all customers. The script of TestDecide that expected the wait now expects the answer; the argument for the time of the last needed part is gone.

--- a/internal/route/gatherer/gatherer.go
+++ b/internal/route/gatherer/gatherer.go
@@ -4,17 +4,14 @@
 // It handles backend servers that pause or are slow: with many shards, one of them is
 // late in most requests. Until the soft deadline, waiting for another part makes the
 // answer more complete at no cost. At the soft deadline, a nearly complete answer in
-// time is better for the client than a complete one that is late. After the objective
-// has been missed for lack of parts, a bounded wait for completeness is worthwhile; an
-// answer that was ready in time is sent even if this host is late to do so.
+// time is better for the client than a complete one that is late. An answer that has missed
+// the objective for lack of parts is sent as soon as it has enough of them: one further part of 36 adds
+// a twentieth to its value, and under overload the wait for it keeps servers busy that other
+// requests need.
 package gatherer
 
 import "time"
 
-// lateWaitObjectives bounds, as a multiple of the objective from the start, how long an
-// answer that has missed its objective waits for further parts.
-const lateWaitObjectives = 3
-
 //go:generate go run golang.org/x/tools/cmd/stringer@v0.49.0 -type=Verdict -linecomment -output=verdict_string.go
 
 // Verdict is the decision about a fan-out.
@@ -37,18 +34,15 @@
 	SoftDeadline time.Time
 	// HardDeadline is when the final answer has to be sent.
 	HardDeadline time.Time
-	// Objective is the latency objective of the route.
-	Objective time.Duration
 	// Shards is the number of shards. MinParts is the least number of parts in an answer.
 	Shards   int
 	MinParts int
 }
 
 // Decide returns what to do at the time now. parts is the number of parts that have
-// arrived, openShards the number of shards from which one may still come. enoughSince is
-// when MinParts was reached, the zero value before. With Wait it returns when to decide
-// again if no part arrives before, otherwise now.
-func (p Plan) Decide(now, enoughSince time.Time, parts, openShards int) (Verdict, time.Time) {
+// arrived, openShards the number of shards from which one may still come. With Wait it
+// returns when to decide again if no part arrives before, otherwise now.
+func (p Plan) Decide(now time.Time, parts, openShards int) (Verdict, time.Time) {
 	switch {
 	case parts >= p.Shards:
 		return Reply, now
@@ -63,18 +57,9 @@
 	if now.Before(p.SoftDeadline) {
 		return Wait, p.SoftDeadline
 	}
-	if p.objectiveMissed(now) && p.objectiveMissed(enoughSince) {
-		lateLimit := earlier(p.Start.Add(lateWaitObjectives*p.Objective), p.HardDeadline)
-		if now.Before(lateLimit) {
-			return Wait, lateLimit
-		}
-	}
 	return Reply, now
 }
 
-// objectiveMissed reports whether the objective has passed at the time at.
-func (p Plan) objectiveMissed(at time.Time) bool { return at.After(p.Start.Add(p.Objective)) }
-
 // finalVerdict returns the verdict when no further part is awaited.
 func (p Plan) finalVerdict(parts int) Verdict {
 	if parts >= p.MinParts {
@@ -82,10 +67,3 @@
 	}
 	return Fail
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -92,10 +92,8 @@
 	// shards holds the shards of a fan-out in the order of the route, or the one
 	// service of another request.
 	shards []shardState
-	// partCount is the number of shards that have answered with a part. enoughSince is
-	// when it reached the least number of parts in an answer, the zero value before.
-	partCount   int
-	enoughSince time.Time
+	// partCount is the number of shards that have answered with a part.
+	partCount int
 	// results gets the result of every send.
 	results chan sendResult
 	// hedgeCount and retryCount are the numbers of hedges and retries sent to all
@@ -234,7 +232,6 @@
 			Start:        request.Received,
 			SoftDeadline: request.Received.Add(route.Objective - cmp.Or(request.TransitTime, r.config.TransitTime)),
 			HardDeadline: deadline,
-			Objective:    route.Objective,
 			Shards:       len(services),
 			MinParts:     1,
 		},
@@ -287,7 +284,7 @@
 		q.advanceTrial(sendCtx)
 		delay := q.hedgeDelay(now)
 		q.hedgeLateShards(sendCtx, now, delay)
-		verdict, until := q.plan.Decide(now, q.enoughSince, q.partCount, q.openShards())
+		verdict, until := q.plan.Decide(now, q.partCount, q.openShards())
 		switch verdict {
 		case gatherer.Reply:
 			return q.mergedAnswer()
@@ -371,9 +368,6 @@
 		}
 		s.part = &res
 		q.partCount++
-		if q.partCount == q.plan.MinParts {
-			q.enoughSince = res.arrivedAt
-		}
 	case caller.Shed, caller.Missing:
 		// The server did not run the request. The next send is a retry, which takes
 		// budget, because the server had to handle this one.
