admitter, relayer: a Retry-After that callers with a short time limit honour

Cause: a refusal named 100 to 300 ms. Callers return after a third of the time that they have left at most, so an urgent search with a limit of 300 ms never returned.

Change: if 0.3 of the time left is less than 100 ms, a time between 0.6 of that and all of it is named.

TestRetryAfterOfShortRequest fails without the change: every value is at least 100 ms.

--- a/internal/route/admitter/replay_test.go
+++ b/internal/route/admitter/replay_test.go
@@ -158,11 +158,13 @@
 	shards      [replayShards][]*replayServer
 	rates       []float64
 	refusals    int
-	fault       tally
-	after       tally
-	bySecond    map[int]*tally
-	byKind      map[string]*tally
-	byGroup     map[string]*tally
+	// lost counts refused requests that do not return, by kind.
+	lost     map[string]int
+	fault    tally
+	after    tally
+	bySecond map[int]*tally
+	byKind   map[string]*tally
+	byGroup  map[string]*tally
 	// inFaultByGroup counts the groups of accounts during the fault only.
 	inFaultByGroup map[string]*tally
 }
@@ -181,7 +183,7 @@
 
 func newReplay(l load, seed uint64) *replay {
 	s := &replay{load: l, r: rand.New(rand.NewPCG(seed, 7)), arrivalRand: rand.New(rand.NewPCG(seed, 8)), rates: accountRates(),
-		bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}, inFaultByGroup: map[string]*tally{}}
+		lost: map[string]int{}, bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}, inFaultByGroup: map[string]*tally{}}
 	for range replayHosts {
 		h := &replayHost{latency: map[*replayServer]float64{}, inFlight: map[*replayServer]int{}, loads: map[*replayServer]replayLoad{}}
 		h.warmUp(s.arrivalRand, s.rates)
@@ -318,11 +320,12 @@
 // refuse refuses a request. The caller returns if it has three times the named time left.
 func (s *replay) refuse(q *replayQuery) {
 	s.refusals++
-	after := 100*time.Millisecond + time.Duration(s.r.Int64N(int64(200*time.Millisecond)))
+	after := RetryAfter(s.r, q.deadline-s.now-2*transit)
 	if back := s.now + 2*transit; after <= (q.deadline-back)/3 {
 		s.at(back+after, func() { s.arrive(&replayQuery{kind: q.kind, account: q.account, first: q.first, deadline: q.deadline}) })
 		return
 	}
+	s.lost[q.kind.name]++
 	s.record(q, false)
 }
 
@@ -553,7 +556,7 @@
 
 // play runs a load with several seeds and adds up the figures.
 func play(t *testing.T, l load) *replay {
-	sum := &replay{bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}, inFaultByGroup: map[string]*tally{}}
+	sum := &replay{lost: map[string]int{}, bySecond: map[int]*tally{}, byKind: map[string]*tally{}, byGroup: map[string]*tally{}, inFaultByGroup: map[string]*tally{}}
 	const seeds = 3
 	var results [seeds]*replay
 	var group sync.WaitGroup
@@ -563,6 +566,9 @@
 	group.Wait()
 	for _, s := range results {
 		sum.refusals += s.refusals
+		for kind, n := range s.lost {
+			sum.lost[kind] += n
+		}
 		sum.fault.add(s.fault)
 		sum.after.add(s.after)
 		addAll(sum.bySecond, s.bySecond)
@@ -571,7 +577,7 @@
 		addAll(sum.inFaultByGroup, s.inFaultByGroup)
 	}
 	served, value := sum.worst()
-	t.Logf("%s: fault: %s; after: %s; worst second served %.3f value %.3f; %d refusals", l.name, sum.fault, sum.after, served, value, sum.refusals)
+	t.Logf("%s: fault: %s; after: %s; worst second served %.3f value %.3f; %d refusals, lost %v", l.name, sum.fault, sum.after, served, value, sum.refusals, sum.lost)
 	for _, m := range []map[string]*tally{sum.byKind, sum.inFaultByGroup} {
 		for _, key := range slices.Sorted(maps.Keys(m)) {
 			t.Logf("  %s: %s", key, m[key])
@@ -636,3 +642,10 @@
 	require.Greater(t, s.fault.timely/s.fault.total, 0.67)
 	require.Greater(t, s.fault.served/s.fault.total, 0.97)
 }
+
+// TestUrgentReturns guards against urgent requests whose callers never honour the time after
+// which they may return.
+func TestUrgentReturns(t *testing.T) {
+	s := play(t, load{name: "hot account to the end, priorities, long queues", lost: 36, hot: 7.5, lasting: true, ranked: true, room: 120})
+	require.Zero(t, s.lost["urgent"])
+}
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -60,9 +60,9 @@
 	missing := q.plan.MinParts - open
 	switch {
 	case sent < q.plan.MinParts:
-		return nil, Answer{Reason: Overload, RetryAfter: r.jitter()}
+		return nil, Answer{Reason: Overload, RetryAfter: q.jitter(now)}
 	case missing > len(limitedServices):
-		return nil, Answer{Reason: NoServer, RetryAfter: r.jitter()}
+		return nil, Answer{Reason: NoServer, RetryAfter: q.jitter(now)}
 	case missing > 0:
 		return nil, q.refuseLimited(now, limitedServices, missing)
 	}
@@ -135,7 +135,7 @@
 		}
 	}
 	slices.SortFunc(waits, func(a, b wait) int { return a.until.Compare(b.until) })
-	retryAfter := r.jitter()
+	retryAfter := q.jitter(now)
 	if len(waits) >= missing {
 		for _, w := range waits[:missing] {
 			r.limits.Promise(w.server, w.until)
--- a/internal/route/relayer/demand_test.go
+++ b/internal/route/relayer/demand_test.go
@@ -68,3 +68,20 @@
 	require.EqualValues(t, refused["k1"], counters["requests_refused+over=true,rank=0,reason=overload"].Value())
 	require.EqualValues(t, 2, scope.Snapshot().Gauges()["accounts_tracked+"].Value())
 }
+
+// TestRetryAfterOfShortRequest guards against a refusal whose caller does not return because
+// the named time exceeds a third of what it has left.
+func TestRetryAfterOfShortRequest(t *testing.T) {
+	route := singleRoute(router.Safe)
+	route.Timeout, route.Objective = 300*time.Millisecond, 50*time.Millisecond
+	env := newTestEnv(t, []router.Route{route}, map[string][]string{"s": {"a"}})
+	for range 20 {
+		a := Answer{}
+		for a.Reason != Overload {
+			env.congest("s")
+			a = env.get(t, "/x")
+			a.Release()
+		}
+		require.LessOrEqual(t, a.RetryAfter, route.Timeout/3)
+	}
+}
--- a/internal/route/relayer/final_answer.go
+++ b/internal/route/relayer/final_answer.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/ranker"
 )
 
@@ -67,10 +68,12 @@
 			wait = max(wait, q.relayer.routing.Load().pauseOf(now, s.service))
 		}
 	}
-	return wait + r.jitter()
+	return wait + q.jitter(now)
 }
 
-// jitter returns a random delay. The caller holds the lock.
-func (r *Relayer) jitter() time.Duration {
-	return minRetryAfter + time.Duration(r.rand.Int64N(int64(2*minRetryAfter)))
+// jitter returns a random delay that the client honours, given the time that it has left
+// when it gets the answer. The caller holds the lock.
+func (q *query) jitter(now time.Time) time.Duration {
+	transit := q.plan.Start.Add(q.route.Objective).Sub(q.plan.SoftDeadline)
+	return admitter.RetryAfter(q.relayer.rand, q.deadline.Add(deadlineMargin).Sub(now)-transit)
 }
