evacuation of an availability zone, as a durable order

Watch replies carry the list and its number, at once after a change, to hosts that follow evacuations. The relayer has the servers of an evacuated zone out of use for every send, waiting ones too, closes their connections, neither warms nor probes them, and does not count them when it looks for lost links. Settings region (relay) and zones (relay, member); region is not used yet.

--- a/cmd/gentianpond/member.go
+++ b/cmd/gentianpond/member.go
@@ -43,6 +43,7 @@
 	c, err := server.New(server.Settings{
 		Name:      s.Inner.Addr().String(),
 		Zone:      s.Zone,
+		Zones:     s.Zones,
 		Inner:     s.Inner,
 		Data:      s.Data,
 		Seeds:     s.Seeds,
--- a/cmd/gentianpond/status.go
+++ b/cmd/gentianpond/status.go
@@ -11,8 +11,8 @@
 )
 
 const helpStatus = `Print the status of each control host: leader, term, voters, entry hosts with
-the revision in force on each, rate limits that backend servers name, and repairs in
-progress.
+the revision in force on each, rate limits that backend servers name, evacuated zones, and
+repairs in progress.
 
 Use GET /v1/status on an entry host to list backend servers and snapshots.`
 
@@ -60,6 +60,9 @@
 	for _, m := range r.GetLimits() {
 		fmt.Printf("  rate limit %s: %g requests a second for all entry hosts, named %s ago\n", m.GetServer(), m.GetRate(), m.GetAge().AsDuration())
 	}
+	for _, zone := range r.GetEvacuated() {
+		fmt.Printf("  zone %s is evacuated\n", zone)
+	}
 	for _, s := range r.GetSuspects() {
 		fmt.Printf("  request %016x of service %s: %s, crashed %d servers\n", s.GetFingerprint(), s.GetArchive(),
 			quarantiner.State(s.GetState()), s.GetCrashes())
--- a/internal/control/keeper/keeper.go
+++ b/internal/control/keeper/keeper.go
@@ -50,6 +50,8 @@
 	ViewChanged bool
 	// RoutingVersion is the version of the routing document in force after the command.
 	RoutingVersion uint64
+	// EvacuationChanged reports whether an order about an availability zone had an effect.
+	EvacuationChanged bool
 	// ChangedServers is the number of backend servers whose registration changed.
 	ChangedServers int
 }
@@ -75,6 +77,8 @@
 	view view
 	// routing is the routing document in force, as the operator sent it.
 	routing routingDocument
+	// evacuations holds the orders about availability zones.
+	evacuations evacuations
 	// registry is the set of known backend servers, skippedRegistrations the number of
 	// invalid ones in the snapshot that was restored last.
 	registry             *registrar.Registry
@@ -155,7 +159,7 @@
 	case *messenger.Command_View:
 		return Result{ViewChanged: k.view.applyChange(action.View)}
 	case *messenger.Command_Publish:
-		return Result{RoutingVersion: k.routing.replaceIfNewer(action.Publish)}
+		return k.applyPublish(action.Publish)
 	case *messenger.Command_Register:
 		return Result{ChangedServers: k.applyRegistrations(action.Register.GetList())}
 	default:
--- a/internal/control/keeper/snapshot.go
+++ b/internal/control/keeper/snapshot.go
@@ -26,6 +26,7 @@
 	k.copyLedgerTo(state)
 	k.copyQuarantineTo(state)
 	k.copyRoutingAndRegistryTo(state)
+	k.copyEvacuationsTo(state)
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot")
@@ -101,6 +102,7 @@
 	restored.restoreLedgerFrom(&state)
 	restored.restoreQuarantineFrom(&state)
 	restored.restoreRoutingAndRegistryFrom(&state)
+	restored.restoreEvacuationsFrom(&state)
 	*k = *restored
 	return nil
 }
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -267,6 +267,8 @@
 		Applied:  status.AppliedIndex,
 		Revision: l.keeper.ConfigRevision(),
 		View:     view.GetNumber(),
+
+		Evacuated: l.keeper.EvacuatedZones(),
 	}
 	if len(status.Members) == 0 {
 		reply.Role = roleWaiting
--- a/internal/control/server/settings.go
+++ b/internal/control/server/settings.go
@@ -53,6 +53,9 @@
 	Name string
 	// Zone is the availability zone of this host.
 	Zone string
+	// Zones are the availability zones of the installation, by name, with the region of
+	// each. It may be empty.
+	Zones map[string]string
 	// Inner is the address on which this host serves the other hosts.
 	Inner netip.AddrPort
 	// Data is the folder of the durable state.
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -92,13 +92,14 @@
 	})
 }
 
-// hasNews reports whether the routing document, the registry or the quarantine of requests
-// on routes is newer than what the entry host has. The quarantine is news only for hosts
-// that follow it.
+// hasNews reports whether the routing document, the registry, the quarantine of requests
+// on routes or the evacuations are newer than what the entry host has. The last two are
+// news only for hosts that follow them.
 func (l *loop) hasNews(r *messenger.WatchRequest) bool {
 	version, _ := l.keeper.RoutingDocument()
 	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().LastChange() ||
-		r.GetGuards() && r.GetSuspects() < l.suspects.lastChange
+		r.GetGuards() && r.GetSuspects() < l.suspects.lastChange ||
+		r.GetEvacuates() && r.GetEvacuation() < l.keeper.EvacuationNumber()
 }
 
 // watchReply returns the current versions with the routing document and the
@@ -122,6 +123,7 @@
 		reply.Suspects = l.suspects.lastChange
 		reply.Suspect, reply.Whole = l.suspects.changesSince(time.Now(), r.GetSuspects())
 	}
+	l.addEvacuations(reply, r)
 	if r.GetVersion() < version {
 		reply.Packed = packed
 	}
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -75,11 +75,15 @@
 	HostRank int
 	// Peers are some of the other entry hosts, which may take requests over.
 	Peers []Peer
+	// Evacuations are the last orders about availability zones.
+	Evacuations []registrar.Evacuation
 	// LastReply is the time of the leader's last reply.
 	LastReply time.Time
 
 	// registryIndex is the index of the newest registry change in Servers.
 	registryIndex uint64
+	// evacuation is the number of the newest change in Evacuations.
+	evacuation uint64
 	// peersFingerprint identifies Peers to the leader.
 	peersFingerprint uint64
 }
@@ -215,6 +219,7 @@
 	s := w.State()
 	request := w.newWatchRequest(s.Version, s.registryIndex, hold)
 	w.addLimits(request)
+	request.Evacuates, request.Evacuation = true, s.evacuation
 	request.Guards, request.Suspects = w.config.Suspects != nil, w.suspects
 	if w.config.Peer.Address.IsValid() {
 		request.Peer, request.Zone, request.Peers = w.config.Peer.Address.String(), w.config.Peer.Zone, s.peersFingerprint
@@ -380,6 +385,7 @@
 		next.Peers, next.peersFingerprint = decodePeers(reply.GetPeer()), f
 		changed = true
 	}
+	changed = w.learnEvacuations(&next, reply, now) || changed
 	w.setControlHosts(reply.GetControl())
 	w.state.Store(&next)
 	if changed {
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -252,7 +252,7 @@
 
 // applyUpdate decodes the routing document if its version is new, and passes the routing
 // table, the registry of backend servers and the place of this host among the entry hosts
-// to the relayer, and its peers to the delegator. The watcher makes one call at a time.
+// and the evacuations to the relayer, and its peers to the delegator. The watcher makes one call at a time.
 func (f *Forwarder) applyUpdate(w subscriber.RoutingState) {
 	if w.Version > 0 && (f.table == nil || f.table.Version != w.Version) {
 		table, err := f.adapter.DecodeDocument(w.Document)
@@ -270,6 +270,7 @@
 	if f.delegator != nil {
 		f.delegator.SetPeers(w.Peers)
 	}
+	f.relayer.SetEvacuations(w.Evacuations)
 	position := pacer.Position{Rank: w.HostRank, Count: w.EntryHosts}
 	f.relayer.Update(*f.runContext.Load(), f.table, w.Servers, position)
 }
--- a/internal/route/relayer/crash.go
+++ b/internal/route/relayer/crash.go
@@ -34,14 +34,14 @@
 
 // hasEnded reports whether a server whose connection broke with err has ended: it closed
 // the connection without having announced that it stops, and its address now refuses
-// others. A server that only reset the connection accepts others; one that is cut off
+// others. Those of an evacuated zone may be stopped at any time, and are not probed. A server that only reset the connection accepts others; one that is cut off
 // does not answer.
 func (r *Relayer) hasEnded(s *server, err error) bool {
 	closed := func(target error) bool { return errors.Is(err, target) }
 	if !slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, closed) {
 		return false
 	}
-	if current := r.routing.Load().servers[s.Name]; current == nil || current.Incarnation != s.Incarnation || current.State == registrar.Draining {
+	if current := r.routing.Load().servers[s.Name]; current == nil || current.Incarnation != s.Incarnation || current.State == registrar.Draining || current.evacuated {
 		return false
 	}
 	return errors.Is(s.pool.Probe(r.runContext(), endCheckTimeout), syscall.ECONNREFUSED)
--- a/internal/route/relayer/down.go
+++ b/internal/route/relayer/down.go
@@ -37,6 +37,8 @@
 			}
 			if current := r.routing.Load().servers[s.Name]; current == nil || current.endpoint != s.endpoint {
 				return
+			} else if current.evacuated {
+				continue
 			}
 			err := s.pool.Connect(ctx)
 			if errors.Is(err, connector.ErrAtLimit) {
--- a/internal/route/relayer/late_test.go
+++ b/internal/route/relayer/late_test.go
@@ -79,6 +79,11 @@
 	switch how {
 	case "draining":
 		set(func(s *registrar.Server) { s.State = registrar.Draining })
+	case "evacuated":
+		b.server.Zone = "other"
+		list = env.registry()
+		env.relayer.SetEvacuations([]registrar.Evacuation{{Zone: "other"}})
+		update()
 	case "gone":
 		set(func(s *registrar.Server) { s.State = registrar.Gone })
 	case "moved":
@@ -181,7 +186,7 @@
 // TestWaitEndsWhenServerIsTakenOut guards against requests that wait for a connection to a
 // server that was taken out of use, while another server is idle.
 func TestWaitEndsWhenServerIsTakenOut(t *testing.T) {
-	for _, how := range []string{"draining", "gone", "moved"} {
+	for _, how := range []string{"draining", "gone", "moved", "evacuated"} {
 		t.Run(how, func(t *testing.T) {
 			env := newLateEnv(t, singleRoute(router.Unsafe), "a")
 			env.relayer.routing.Load().servers["a"].pool.SetLimit(1)
--- a/internal/route/relayer/links.go
+++ b/internal/route/relayer/links.go
@@ -13,7 +13,7 @@
 	switch {
 	case res.err == nil:
 		r.linkWorks(now, res.server)
-	case res.status == caller.Unsent:
+	case res.status == caller.Unsent && !r.isEvacuated(res.server):
 		r.links.Failed(now, res.server.Name)
 		r.checkLinks(now)
 	}
@@ -46,12 +46,12 @@
 func (r *Relayer) updateLinks(state *routingState) {
 	known := 0
 	for _, s := range state.servers {
-		if s.State == registrar.Ready {
+		if s.State == registrar.Ready && !s.evacuated {
 			known++
 		}
 	}
 	r.links.SetServers(known, func(name string) bool {
 		s := state.servers[name]
-		return s != nil && s.State == registrar.Ready
+		return s != nil && s.State == registrar.Ready && !s.evacuated
 	})
 }
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -200,6 +200,8 @@
 	guard quarantiner.Guard
 	// keptReports holds observations that are not reported yet, by fingerprint.
 	keptReports map[uint64][]quarantiner.Observation
+	// evacuatedZones holds the availability zones to whose servers no request is sent.
+	evacuatedZones map[string]bool
 	// links tells whether this host has lost its links to the servers.
 	links detector.Detector
 	// throttles holds the throttles by service name.
@@ -275,6 +277,9 @@
 	for name, s := range next.servers {
 		if before := old.servers[name]; before != nil && before.isInUse() && !s.isInUse() {
 			s.pool.WakeWaiting()
+			if s.evacuated {
+				s.pool.CloseIdle()
+			}
 		}
 	}
 }
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -31,6 +31,9 @@
 	// silent holds those in the state Silent, which have not checked in for a while.
 	// They are used only when no ready one is left.
 	silent []string
+	// evacuated is the number of servers that are in one of these states in an evacuated
+	// zone.
+	evacuated int
 }
 
 // newRoutingState returns a routing state without servers; see addServer.
@@ -43,6 +46,8 @@
 type server struct {
 	registrar.Server
 	*endpoint
+	// evacuated is true if the server's availability zone is evacuated.
+	evacuated bool
 }
 
 // endpoint holds this host's connections to one incarnation of a backend server and what
@@ -69,7 +74,7 @@
 
 // isInUse reports whether requests may be sent to a server in its state of the registry.
 func (s *server) isInUse() bool {
-	return s.State == registrar.Ready || s.State == registrar.Silent
+	return !s.evacuated && (s.State == registrar.Ready || s.State == registrar.Silent)
 }
 
 // reportedLoad is a load with the time at which this host received it.
@@ -114,11 +119,12 @@
 }
 
 // servedShards returns the number of the route's shards, or of the services that it is
-// split among, for which a server is known. A route to a single service has one.
+// split among, for which a server is known, in evacuated zones too: the host need not wait
+// for others. A route to a single service has one.
 func (state *routingState) servedShards(route *router.Route) int {
 	n := 0
 	for _, name := range route.Services() {
-		if s := state.services[name]; len(s.ready)+len(s.silent) > 0 {
+		if s := state.services[name]; len(s.ready)+len(s.silent)+s.evacuated > 0 {
 			n++
 		}
 	}
@@ -134,12 +140,13 @@
 	}
 	current, ok := old.servers[s.Name]
 	limit := r.connectionLimit(next.table, s.Service)
+	evacuated := r.evacuatedZones[s.Zone]
 	if ok && current.Incarnation == s.Incarnation && current.Address == s.Address {
 		current.pool.SetLimit(limit)
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
 		r.selector.Resize(s.Name, maxConcurrent(s, limit))
-		if current.State != s.State || current.Slots != s.Slots {
-			current = &server{Server: s, endpoint: current.endpoint}
+		if current.State != s.State || current.Slots != s.Slots || current.evacuated != evacuated {
+			current = r.changeServer(ctx, current, s, evacuated)
 		}
 	} else {
 		if ok {
@@ -148,19 +155,19 @@
 				r.limits.Remove(s.Name)
 			}
 		}
-		current = &server{Server: s, endpoint: &endpoint{pool: r.newPool(s.Address, limit)}}
+		current = &server{Server: s, endpoint: &endpoint{pool: r.newPool(s.Address, limit)}, evacuated: evacuated}
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
 		r.selector.Update(selectorServer(s, limit))
-		if s.Zone == r.config.Zone && s.State == registrar.Ready {
-			go current.pool.Warm(ctx)
-		}
+		r.warm(ctx, current)
 	}
 	next.servers[s.Name] = current
 	m := next.services[s.Service]
-	switch s.State {
-	case registrar.Ready:
+	switch {
+	case evacuated && s.State != registrar.Draining:
+		m.evacuated++
+	case s.State == registrar.Ready:
 		m.ready = append(m.ready, s.Name)
-	case registrar.Silent:
+	case s.State == registrar.Silent:
 		m.silent = append(m.silent, s.Name)
 	}
 	next.services[s.Service] = m
@@ -230,6 +237,10 @@
 		}
 	}
 	for _, s := range state.servers {
+		if s.evacuated {
+			// Requests that were in flight at the time of the order have left theirs.
+			s.pool.CloseIdle()
+		}
 		s.pool.CloseExpired(now)
 	}
 }
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -43,6 +43,10 @@
 type RelaySettings struct {
 	Name string
 	Zone string
+	// Region is the region of this host, and Zones names the region of each availability
+	// zone. Without them all regions count as one.
+	Region string
+	Zones  map[string]string
 	// Listen is the address for clients.
 	Listen netip.AddrPort
 	// Ready is the address for the load balancer's readiness checks.
@@ -78,6 +82,8 @@
 type MemberSettings struct {
 	Name string
 	Zone string
+	// Zones names the region of each availability zone. It may be nil.
+	Zones map[string]string
 	// Listen is the address for operators and backend servers.
 	Listen netip.AddrPort
 	// Inner is the address of the inner service.
@@ -120,10 +126,11 @@
 func ParseRelay(name string, text []byte) (RelaySettings, error) {
 	s, root := scanner.Parse(name, text)
 	r := RelaySettings{Grace: DefaultGrace, Share: 1}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics", "region", "zones"); ok {
 		var used usedAddresses
 		r.Name = readRequiredName(o, "name")
 		r.Zone = readRequiredName(o, "zone")
+		r.Region, r.Zones = readRegion(o), readZones(o)
 		r.Listen = used.readListen(o)
 		r.Ready = readRequiredField(o, "ready", scanner.Node.Address)
 		innerPort := parseInnerPort(o)
@@ -159,10 +166,11 @@
 func ParseMember(name string, text []byte) (MemberSettings, error) {
 	s, root := scanner.Parse(name, text)
 	var m MemberSettings
-	if o, ok := root.Object("name", "zone", "listen", "control", "port", "data", "bootstrap", "losses", "grace", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "control", "port", "data", "bootstrap", "losses", "grace", "metrics", "zones"); ok {
 		var used usedAddresses
 		m.Name = readRequiredName(o, "name")
 		m.Zone = readRequiredName(o, "zone")
+		m.Zones = readZones(o)
 		m.Listen = used.readListen(o)
 		innerPort := parseInnerPort(o)
 		m.Inner = netip.AddrPortFrom(m.Listen.Addr(), innerPort)
