--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -76,6 +76,8 @@
 	HostRank int
 	// Peers are some of the other entry hosts, which may take requests over.
 	Peers []Peer
+	// Evacuations are the last orders about availability zones.
+	Evacuations []registrar.Evacuation
 	// LastReply is the time of the leader's last reply.
 	LastReply time.Time
 	// ContactAt is a time at which the leader knew of this host, close to LastReply and
@@ -88,6 +90,8 @@
 
 	// registryIndex is the index of the newest registry change in Servers.
 	registryIndex uint64
+	// evacuation is the number of the newest change in Evacuations.
+	evacuation uint64
 	// peersFingerprint identifies Peers to the leader, and lendingFingerprint Lending and
 	// Callers.
 	peersFingerprint   uint64
@@ -228,6 +232,7 @@
 	s := w.State()
 	request := w.newWatchRequest(s.Version, s.registryIndex, hold)
 	w.addLimits(request)
+	request.Evacuates, request.Evacuation = true, s.evacuation
 	request.Guards, request.Suspects = w.config.Suspects != nil, w.suspects
 	if w.config.Peer.Address.IsValid() {
 		request.Peer, request.Zone, request.Peers = w.config.Peer.Address.String(), w.config.Peer.Zone, s.peersFingerprint
@@ -397,6 +402,7 @@
 		changed = true
 	}
 	changed = w.learnLending(&next, reply) || changed
+	changed = w.learnEvacuations(&next, reply, now) || changed
 	w.setControlHosts(reply.GetControl())
 	w.state.Store(&next)
 	if changed {
