test/crowd: crowds of hostile clients against processes with little memory

Relays and members run with 64 MB of memory and 400 file descriptors in their settings. Each crowd keeps its connections open; the process has to live within these figures and to serve an ordinary request afterwards.

--- a/test/standin/system.go
+++ b/test/standin/system.go
@@ -74,6 +74,14 @@
 // is network, and port is the first of four ports that they use. Systems that run
 // at the same time need to differ in one of them.
 func Start(binary, folder string, network byte, port, members, relays int) (*System, error) {
+	return StartWith(binary, folder, network, port, members, relays, Extra{})
+}
+
+// Extra is text that is added to the settings of members and relays, such as `"memory":64,`.
+type Extra struct{ Member, Relay string }
+
+// StartWith is Start with more settings.
+func StartWith(binary, folder string, network byte, port, members, relays int, extra Extra) (*System, error) {
 	s := &System{folder: folder}
 	for i := range members {
 		s.ControlAddresses = append(s.ControlAddresses, fmt.Sprintf("127.0.%d.%d:%d", network, i+1, port))
@@ -84,8 +92,8 @@
 		metrics := fmt.Sprintf("127.0.%d.%d:%d", network, i+1, port+3)
 		s.MetricsAddresses = append(s.MetricsAddresses, metrics)
 		settings := func(bootstrap bool) string {
-			return fmt.Sprintf(`{"name":"member-%d","zone":"z%d","listen":%q,"control":[%s],"port":%d,"data":%q,"bootstrap":%t,"losses":1,"metrics":%q}`,
-				i, i%2, address, seeds, port+1, data, bootstrap, metrics)
+			return fmt.Sprintf(`{%s"name":"member-%d","zone":"z%d","listen":%q,"control":[%s],"port":%d,"data":%q,"bootstrap":%t,"losses":1,"metrics":%q}`,
+				extra.Member, i, i%2, address, seeds, port+1, data, bootstrap, metrics)
 		}
 		p, err := s.newProcess(binary, "member", i, settings(true))
 		if err != nil {
@@ -107,8 +115,8 @@
 		ready := fmt.Sprintf("127.0.%d.%d:%d", network, 100+i, port+2)
 		metrics := fmt.Sprintf("127.0.%d.%d:%d", network, 100+i, port+3)
 		s.MetricsAddresses = append(s.MetricsAddresses, metrics)
-		settings := fmt.Sprintf(`{"name":"relay-%d","zone":"z%d","listen":%q,"ready":%q,"control":[%s],"port":%d,"grace":"3s","ratio":0.2,"extra":50,"window":"10s","metrics":%q}`,
-			i, i%2, entry, ready, seeds, port+1, metrics)
+		settings := fmt.Sprintf(`{%s"name":"relay-%d","zone":"z%d","listen":%q,"ready":%q,"control":[%s],"port":%d,"grace":"3s","ratio":0.2,"extra":50,"window":"10s","metrics":%q}`,
+			extra.Relay, i, i%2, entry, ready, seeds, port+1, metrics)
 		p, err := s.newProcess(binary, "relay", i, settings)
 		if err != nil {
 			return s, err
@@ -171,6 +179,13 @@
 	return p.command.Process.Signal(signal)
 }
 
+// PID returns the id of the process.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command.Process.Pid
+}
+
 // Wait waits until the process ends and kills it after the time limit. It reports
 // whether it ended by itself and without an error.
 func (p *Process) Wait(limit time.Duration) bool {
