acceptor, rationer: bound what the clients of a process may hold

net/http parses a head while it arrives and readers of bodies grow their buffers by append, so that clients decide how much memory a process uses; nothing bounds the connections. Searches copied the body and the header once per shard.

The acceptor holds a head as raw bytes until it is complete, refuses it with 431 as soon as it is over the limit of the document, reserves memory for heads by lines and for bodies by segments, and bounds connections and the time in which an answer has to be taken. The rationer decides who is disconnected when either is used up. Sends of a request share its body and header. The limit for heads counts raw bytes, so that the form of the lines does not matter. New settings: files of relay and member, memory of member.

--- a/cmd/gentianpond/control.go
+++ b/cmd/gentianpond/control.go
@@ -9,6 +9,7 @@
 
 	"gentianpond/internal/control/repairer"
 	"gentianpond/internal/control/server"
+	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/observe/reporter"
 	"gentianpond/internal/settings/checker"
@@ -68,7 +69,9 @@
 	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	var group runner.Group
 	group.Add(c.Run)
-	addHTTPServer(&group, s.Listen, mux)
+	addHTTPServer(&group, s.Listen, mux, acceptor.Config{
+		Limits: acceptor.SideLimits(acceptor.DefaultMemoryBytes, acceptor.DefaultFiles), Name: "metrics", Scope: metrics.Scope,
+	})
 	group.AddSignalHandler(nil)
 	return group.Run()
 }
--- a/cmd/gentianpond/member.go
+++ b/cmd/gentianpond/member.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/control/server"
+	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/observe/reporter"
 	"gentianpond/internal/settings/loader"
@@ -36,6 +37,7 @@
 // runMemberHost runs a control host of an open group with the settings s, which were
 // read from the file at path. The seeds are read again when the file changes.
 func runMemberHost(path string, s loader.MemberSettings) (err error) {
+	limitMemory(s.MemoryBytes)
 	metrics := reporter.NewMetrics()
 	defer func() { err = errors.Join(err, metrics.Close()) }()
 	logger, logWriter := reporter.NewAsyncLogger(os.Stdout, "control "+s.Name, metrics.Scope)
@@ -56,8 +58,10 @@
 	var group runner.Group
 	group.Add(c.Run)
 	group.Add(logWriter.Run)
-	addHTTPServer(&group, s.Listen, platform.NewControlHandler(c, s.Listen.Port(), logger))
-	addMetricsServer(&group, metrics, s.Metrics)
+	addHTTPServer(&group, s.Listen, platform.NewControlHandler(c, s.Listen.Port(), logger), acceptor.Config{
+		Limits: acceptor.ClientLimits(s.MemoryBytes, s.Files), Name: "operators", Log: logger, Scope: metrics.Scope,
+	})
+	addMetricsServer(&group, metrics, s.Metrics, acceptor.Config{Limits: acceptor.SideLimits(s.MemoryBytes, s.Files), Log: logger})
 	group.AddReload(path, func() error {
 		reloaded, err := loader.ReadMember(path)
 		if err == nil {
--- a/cmd/gentianpond/relay.go
+++ b/cmd/gentianpond/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/host/forwarder"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/observe/reporter"
@@ -45,6 +46,7 @@
 // settings s, which were read from the file at path. The seeds are read again when
 // the file changes.
 func runRelayHost(path string, s loader.RelaySettings) (err error) {
+	limitMemory(s.MemoryBytes)
 	metrics := reporter.NewMetrics()
 	defer func() { err = errors.Join(err, metrics.Close()) }()
 	logger, logWriter := reporter.NewAsyncLogger(os.Stdout, "relay "+s.Name, metrics.Scope)
@@ -62,7 +64,7 @@
 	var group runner.Group
 	f.AddTo(&group)
 	group.Add(logWriter.Run)
-	addMetricsServer(&group, metrics, s.Metrics)
+	addMetricsServer(&group, metrics, s.Metrics, acceptor.Config{Limits: acceptor.SideLimits(s.MemoryBytes, s.Files), Log: logger})
 	group.AddReload(path, func() error {
 		reloaded, err := loader.ReadRelay(path)
 		if err == nil {
--- a/internal/backend/connector/conn.go
+++ b/internal/backend/connector/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -67,10 +68,13 @@
 }
 
 // encodeRequest returns the request in HTTP/1.1 format, so that it can be sent
-// with a single write.
-func encodeRequest(r *Request) []byte {
+// with a single write. A long body is not copied: sends of the same request share it.
+func encodeRequest(r *Request, header http.Header) (head, body []byte) {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	if len(r.Body) > maxDirectWriteBytes {
+		body = r.Body
+	}
+	b.Grow(512 + len(r.Body) - len(body))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -78,15 +82,17 @@
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
 	// Writes to a buffer do not fail.
-	_ = r.Header.Write(&b)
+	_ = header.Write(&b)
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(r.Body)))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	if body == nil {
+		b.Write(r.Body)
+	}
+	return b.Bytes(), body
 }
 
 // exchange sends the request and reads the response. Reusable is true if the
@@ -102,10 +108,16 @@
 		}
 	}()
 	var written atomic.Bool
+	header := r.Header
 	if r.BeforeSend != nil {
-		r.BeforeSend(r.Header)
+		// Sends of the same request share its header. The copy lasts until it is encoded.
+		header = maps.Clone(header)
+		if header == nil {
+			header = http.Header{}
+		}
+		r.BeforeSend(header)
 	}
-	data := encodeRequest(r)
+	data, body := encodeRequest(r, header)
 	// A process that was paused after the request was admitted must not send it
 	// after the deadline, because other hosts may be using the server by then. The
 	// timer of ctx may not have fired yet, so the clock is compared here.
@@ -113,7 +125,7 @@
 		<-ctx.Done()
 		return nil, false, errors.Join(ErrUnsent, ctx.Err())
 	}
-	if len(data) <= maxDirectWriteBytes {
+	if len(data)+len(body) <= maxDirectWriteBytes {
 		n, err := c.raw.Write(data)
 		if err != nil && n == 0 {
 			return nil, false, errors.Join(ErrUnsent, err)
@@ -127,7 +139,8 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			_, err := c.raw.Write(data)
+			buffers := net.Buffers{data, body}
+			_, err := buffers.WriteTo(c.raw)
 			written.Store(err == nil)
 		}()
 		defer func() {
--- /dev/null
+++ b/internal/host/acceptor/acceptor.go
@@ -0,0 +1,201 @@
+// Package acceptor accepts the connections of HTTP clients and bounds the connections and the
+// memory that they hold, whatever the clients send. It passes a request on to the HTTP server only
+// when its head is complete.
+package acceptor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/host/rationer"
+)
+
+const (
+	// DefaultMemoryBytes and DefaultFiles are the memory and the file descriptors of a process
+	// whose settings do not name them.
+	DefaultMemoryBytes = 256 << 20
+	DefaultFiles       = 4096
+	// DefaultHeadBytes bounds the head of a request where no lower limit is set.
+	DefaultHeadBytes = 64 << 10
+	// connectionBytes is the memory that an idle connection takes: the buffers of net/http, two
+	// stacks and the connection itself.
+	connectionBytes = 24 << 10
+	// connectionMemoryDivisor and requestMemoryDivisor are the reciprocals of the shares of
+	// the memory that the connections of clients, and their heads and bodies may take.
+	connectionMemoryDivisor = 6
+	requestMemoryDivisor    = 8
+	// sideDivisor is the reciprocal of the share of the limits that apply on ports that only
+	// operators and load balancers use.
+	sideDivisor = 8
+	// minSideClients and minSideBytes bound these limits from below.
+	minSideClients = 8
+	minSideBytes   = 512 << 10
+	// reportInterval is the least time between two log lines about refused or disconnected
+	// clients.
+	reportInterval = time.Second
+)
+
+// ClientLimits returns the limits on the main port of a process with the given memory and file
+// descriptors.
+func ClientLimits(memoryBytes int64, files int) rationer.Limits {
+	return rationer.Limits{
+		Clients: max(minSideClients, min(files/2, int(memoryBytes/connectionMemoryDivisor/connectionBytes))),
+		Bytes:   memoryBytes / requestMemoryDivisor,
+	}
+}
+
+// SideLimits returns the limits on a port that only operators or load balancers use.
+func SideLimits(memoryBytes int64, files int) rationer.Limits {
+	l := ClientLimits(memoryBytes, files)
+	return rationer.Limits{Clients: max(minSideClients, l.Clients/sideDivisor), Bytes: max(minSideBytes, l.Bytes/sideDivisor)}
+}
+
+// Config configures a Listener.
+type Config struct {
+	Limits rationer.Limits
+	// HeadBytes returns the limit on the head of a request, if it is lower than
+	// DefaultHeadBytes. It may be nil.
+	HeadBytes func() int
+	// BodyTime bounds the time to read a body. With 0 the caller bounds it.
+	BodyTime time.Duration
+	// Name names the port in log lines and counters.
+	Name  string
+	Log   *log.Logger
+	Scope tally.Scope
+}
+
+// Listener accepts connections within limits. Use New.
+type Listener struct {
+	net.Listener
+	config Config
+	scope  tally.Scope
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	rationer *rationer.Rationer
+	conns    map[*rationer.Client]*Conn
+	// lastReport is when the last line was logged, and unreported the number of events since.
+	lastReport time.Time
+	unreported int
+}
+
+// New returns a Listener on top of l.
+func New(l net.Listener, c Config) *Listener {
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	return &Listener{
+		Listener: l, config: c, scope: c.Scope.Tagged(map[string]string{"port": c.Name}),
+		rationer: rationer.New(c.Limits), conns: map[*rationer.Client]*Conn{},
+	}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		client, victim, ok := l.rationer.Join(time.Now())
+		c := &Conn{Conn: conn, listener: l, client: client, gated: true}
+		if ok {
+			l.conns[client] = c
+		}
+		closing := l.removeLocked(victim)
+		l.mu.Unlock()
+		l.disconnect(closing)
+		if ok {
+			return c, nil
+		}
+		l.report("refused", "connections")
+		// An error means that the client has disconnected.
+		_ = conn.Close()
+	}
+}
+
+// removeLocked removes clients that have left the rationer and returns their connections.
+func (l *Listener) removeLocked(clients ...*rationer.Client) []*Conn {
+	var list []*Conn
+	for _, client := range clients {
+		if c := l.conns[client]; c != nil {
+			delete(l.conns, client)
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// disconnect closes the connections of clients that were chosen by the rationer.
+func (l *Listener) disconnect(conns []*Conn) {
+	for _, c := range conns {
+		c.evicted.Store(true)
+		l.report("disconnected", "slow")
+		// An error means that the client has disconnected.
+		_ = c.Conn.Close()
+	}
+}
+
+// report counts an event and logs one line a second.
+func (l *Listener) report(event, cause string) {
+	l.scope.Tagged(map[string]string{"cause": cause}).Counter("clients_" + event).Inc(1)
+	now := time.Now()
+	l.mu.Lock()
+	l.unreported++
+	n, used, clients := l.unreported, l.rationer.Used(), l.rationer.Clients()
+	due := now.Sub(l.lastReport) >= reportInterval
+	if due {
+		l.lastReport, l.unreported = now, 0
+	}
+	l.mu.Unlock()
+	l.scope.Gauge("clients_memory").Update(float64(used))
+	if due && l.config.Log != nil {
+		l.config.Log.Warn("client refused or disconnected", "port", l.config.Name, "event", event, "cause", cause, "events", n, "connections", clients, "bytes", used)
+	}
+}
+
+// headBytes returns the limit on the head of a request.
+func (l *Listener) headBytes() int {
+	if l.config.HeadBytes != nil {
+		if n := l.config.HeadBytes(); n > 0 {
+			return min(n, DefaultHeadBytes)
+		}
+	}
+	return DefaultHeadBytes
+}
+
+// Attach makes a server that will serve the listener use its connections. ConnState and
+// ConnContext of the server are still called.
+func Attach(s *http.Server) {
+	state, withConn := s.ConnState, s.ConnContext
+	s.ConnState = func(conn net.Conn, v http.ConnState) {
+		if c, ok := conn.(*Conn); ok {
+			c.setState(v)
+		}
+		if state != nil {
+			state(conn, v)
+		}
+	}
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if withConn != nil {
+			ctx = withConn(ctx, conn)
+		}
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+}
+
+// connKey is the context key of a request's Conn.
+type connKey struct{}
+
+// connOf returns the connection of a request, or nil.
+func connOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
--- a/internal/host/forwarder/clientconn.go
+++ b/internal/host/forwarder/clientconn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"gentianpond/internal/host/acceptor"
 )
 
 const (
@@ -139,6 +141,9 @@
 	return n, err
 }
 
+// Unwrap returns the connection below.
+func (c *clientConn) Unwrap() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.listener.mu.Lock()
@@ -165,13 +170,18 @@
 
 // stateChanged records a state of the http.Server for the connection.
 func stateChanged(conn net.Conn, s http.ConnState) {
-	c, ok := conn.(*clientConn)
+	c, ok := asClientConn(conn)
 	if !ok {
 		return
 	}
 	switch s {
 	case http.StateIdle:
-		c.phase.Store(uint32(idlePhase))
+		phase := idlePhase
+		if limited, ok := conn.(*acceptor.Conn); ok && limited.Buffered() {
+			// A part of the next request has been read already.
+			phase = headerPhase
+		}
+		c.phase.Store(uint32(phase))
 	case http.StateActive:
 		c.used.Store(true)
 		c.phase.Store(uint32(requestPhase))
@@ -183,7 +193,8 @@
 
 // withClientConn adds the client's connection to the context of its requests.
 func withClientConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, clientConnKey{}, conn)
+	c, _ := asClientConn(conn)
+	return context.WithValue(ctx, clientConnKey{}, c)
 }
 
 // connOf returns the client's connection of a request, or nil.
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -17,6 +17,7 @@
 
 	"gentianpond/internal/control/subscriber"
 	"gentianpond/internal/guard/quarantiner"
+	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/host/delegator"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/route/pacer"
@@ -91,7 +92,10 @@
 	// clientServer serves clients on clientListener.
 	clientServer *http.Server
 	// readinessServer serves the load balancer's health checks on readinessListener.
-	readinessServer   *http.Server
+	readinessServer *http.Server
+	// clients and checks accept connections from clientListener and readinessListener within
+	// limits.
+	clients, checks   *acceptor.Listener
 	clientListener    *clientListener
 	readinessListener net.Listener
 	// draining is set by Drain.
@@ -127,6 +131,7 @@
 	}
 	f := &Forwarder{settings: s, peerListener: peers, adapter: a, log: logger, readinessListener: ready, drained: make(chan struct{})}
 	f.clientListener = newClientListener(listen, f.clientTimeouts)
+	f.limitClients(scope)
 	if peers != nil {
 		f.delegator = delegator.New(delegator.Config{Address: s.Peer, Zone: s.Zone, Log: logger, Scope: scope.SubScope("peer")})
 	}
@@ -160,6 +165,8 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	f.readinessServer = &http.Server{Handler: a.NewReadinessHandler(f.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout}
+	acceptor.Attach(f.clientServer)
+	acceptor.Attach(f.readinessServer)
 	return f, nil
 }
 
@@ -214,8 +221,8 @@
 		group.Add(f.delegator.Run)
 		group.AddServer(f.servePeers, f.service.Close)
 	}
-	group.AddServer(func() error { return f.serve(f.readinessServer, f.readinessListener) }, func() { _ = f.readinessServer.Close() })
-	group.AddServer(func() error { return f.serve(f.clientServer, f.clientListener) }, func() { _ = f.clientServer.Close() })
+	group.AddServer(func() error { return f.serve(f.readinessServer, f.checks) }, func() { _ = f.readinessServer.Close() })
+	group.AddServer(func() error { return f.serve(f.clientServer, f.clients) }, func() { _ = f.clientServer.Close() })
 }
 
 // serve runs a server until it is closed, and during a drain until Drain returns.
--- /dev/null
+++ b/internal/host/forwarder/limits.go
@@ -0,0 +1,45 @@
+package forwarder
+
+import (
+	"net"
+
+	"github.com/uber-go/tally/v4"
+
+	"gentianpond/internal/host/acceptor"
+)
+
+// limitClients makes the listeners accept connections within the memory and the file descriptors
+// of the host.
+func (f *Forwarder) limitClients(scope tally.Scope) {
+	memory, files := f.settings.MemoryBytes, f.settings.Files
+	if memory <= 0 {
+		memory = acceptor.DefaultMemoryBytes
+	}
+	if files <= 0 {
+		files = acceptor.DefaultFiles
+	}
+	f.clients = acceptor.New(f.clientListener, acceptor.Config{
+		Limits: acceptor.ClientLimits(memory, files), HeadBytes: f.headBytes, Name: "clients", Log: f.log, Scope: scope,
+	})
+	f.checks = acceptor.New(f.readinessListener, acceptor.Config{
+		Limits: acceptor.SideLimits(memory, files), BodyTime: bodyTimeout, Name: "readiness", Log: f.log, Scope: scope,
+	})
+}
+
+// headBytes returns the limit of the routing table in force for the head of a request, 0 if there
+// is none.
+func (f *Forwarder) headBytes() int {
+	if t := f.relayer.Table(); t != nil {
+		return t.Limits.HeaderBytes
+	}
+	return 0
+}
+
+// asClientConn returns the clientConn that a connection of the client server is, or wraps.
+func asClientConn(conn net.Conn) (*clientConn, bool) {
+	if limited, ok := conn.(*acceptor.Conn); ok {
+		conn = limited.Unwrap()
+	}
+	c, ok := conn.(*clientConn)
+	return c, ok
+}
--- a/internal/host/gateway/announce.go
+++ b/internal/host/gateway/announce.go
@@ -1,19 +1,23 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/fleet/tracker"
+	"gentianpond/internal/host/acceptor"
 )
 
 // handleAnnounce serves POST /v1/announce, by which a backend server reports its
 // address, its load and the shards that it serves.
 func (g *Gateway) handleAnnounce(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tracker.MaxBodyBytes))
+	data, err := acceptor.ReadBody(r, http.MaxBytesReader(w, r.Body, tracker.MaxBodyBytes))
+	if errors.Is(err, acceptor.ErrNoMemory) {
+		acceptor.WriteNoMemory(w)
+		return
+	}
 	if err != nil {
 		http.Error(w, "announcement can't be read: "+err.Error(), http.StatusBadRequest)
 		return
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"gentianpond/internal/control/subscriber"
 	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/fleet/tracker"
+	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/host/runner"
 	"gentianpond/internal/observe/reporter"
 	"gentianpond/internal/order/executor"
@@ -41,6 +42,9 @@
 // stop. If it fails, the control hosts remove the host once its syncs stop.
 const leaveTimeout = 5 * time.Second
 
+// bodyTime bounds the time to read the body of a request.
+const bodyTime = 10 * time.Second
+
 // maxCompletedFingerprints bounds completedFingerprints. A search whose fingerprint has
 // been pushed out may need a canary again.
 const maxCompletedFingerprints = 8192
@@ -86,6 +90,8 @@
 	// grpcServer serves the other entry hosts on grpcListener.
 	grpcServer   *grpc.Server
 	httpListener net.Listener
+	// clients accepts connections from httpListener within limits.
+	clients      *acceptor.Listener
 	grpcListener net.Listener
 
 	// fleetMu guards fleet.
@@ -155,6 +161,10 @@
 	g.grpcServer = messenger.NewServer(grpc.StatsHandler(otelgrpc.NewServerHandler(traces.GRPCOptions()...)))
 	messenger.RegisterEntryServer(g.grpcServer, &entryService{gateway: g})
 	g.httpServer = &http.Server{Handler: g.mux(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
+	acceptor.Attach(g.httpServer)
+	g.clients = acceptor.New(httpListener, acceptor.Config{
+		Limits: acceptor.ClientLimits(acceptor.DefaultMemoryBytes, acceptor.DefaultFiles), BodyTime: bodyTime, Name: "callers", Log: logger, Scope: metrics.Scope,
+	})
 	return g, nil
 }
 
@@ -174,7 +184,7 @@
 // serveHTTP serves callers and backend servers until the server is closed.
 func (g *Gateway) serveHTTP() error {
 	g.log.Info("serving", "callers", g.httpListener.Addr(), "hosts", g.grpcListener.Addr(), "zone", g.settings.Zone)
-	err := g.httpServer.Serve(g.httpListener)
+	err := g.httpServer.Serve(g.clients)
 	if errors.Is(err, http.ErrServerClosed) {
 		return runner.ErrStopped
 	}
--- a/internal/host/gateway/http.go
+++ b/internal/host/gateway/http.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"go.opentelemetry.io/otel/attribute"
 
 	"gentianpond/internal/guard/quarantiner"
+	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/order/executor"
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/search/coordinator"
@@ -74,11 +74,16 @@
 // decodeRequest decodes the JSON body of a request into v. A body with unknown fields
 // or with more than one value is malformed.
 func (g *Gateway) decodeRequest(w http.ResponseWriter, r *http.Request, v any) *refusal {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	data, err := acceptor.ReadBody(r, http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
 		return newRefusal(CodeOversized, "the body is longer than 1 MiB")
 	}
+	if errors.Is(err, acceptor.ErrNoMemory) {
+		w.Header().Set("Retry-After", acceptor.RetryAfter)
+		w.Header().Set("Connection", "close")
+		return newRefusal(CodeNoMemory, err.Error())
+	}
 	if err != nil {
 		return newRefusal(CodeMalformed, "the body could not be read: "+err.Error())
 	}
--- a/internal/host/gateway/refusal.go
+++ b/internal/host/gateway/refusal.go
@@ -17,6 +17,8 @@
 	CodeMalformed = "malformed"
 	// CodeOversized means that the body is longer than maxBodyBytes.
 	CodeOversized = "oversized"
+	// CodeNoMemory means that this host has no memory for the body.
+	CodeNoMemory = "memory"
 	// CodeUnknownArchive means that no team has configured the archive.
 	CodeUnknownArchive = "archive"
 	// CodeUnknownLane means that the archive does not allow the lane.
--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -47,6 +47,8 @@
 	Unauthorized // unauthorized
 	// OverAllowance means that the account of the request has used up its allowance.
 	OverAllowance // over allowance
+	// NoMemory means that this host has no memory for the body of the request.
+	NoMemory // no memory
 	// Expired means that the time limit passed before the request was sent.
 	Expired // expired
 	// Broken means that servers or their connections failed after the request had been
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"time"
 
@@ -45,10 +44,7 @@
 func (q *query) send(ctx context.Context, r sendResult) {
 	s := r.server
 	start := time.Now()
-	header := make(http.Header, len(q.request.Header)+4)
-	maps.Copy(header, q.request.Header)
 	request := *q.request
-	request.Header = header
 	request.BeforeSend = func(h http.Header) {
 		q.relayer.config.Codec.Encode(h, q.id, time.Until(q.deadline), s.Name)
 	}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -26,6 +26,9 @@
 	maxSendsPerShard = 6
 	// minRetryAfter is the shortest time after which a client is told to retry.
 	minRetryAfter = 100 * time.Millisecond
+	// memoryRetryAfter is the time after which clients that hold memory without progress have
+	// been disconnected.
+	memoryRetryAfter = time.Second
 	// startupRetryAfter is the time after which a client is told to retry at a host
 	// that has just started. When all hosts start at once, it takes about as long
 	// to elect a leader of the control hosts and to find it.
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -22,15 +22,16 @@
 	_ = x[Quarantined-11]
 	_ = x[Unauthorized-12]
 	_ = x[OverAllowance-13]
-	_ = x[Expired-14]
-	_ = x[Broken-15]
-	_ = x[TimedOut-16]
-	_ = x[ClientLeft-17]
+	_ = x[NoMemory-14]
+	_ = x[Expired-15]
+	_ = x[Broken-16]
+	_ = x[TimedOut-17]
+	_ = x[ClientLeft-18]
 }
 
-const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedunauthorizedover allowanceexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedunauthorizedover allowanceno memoryexpiredbrokentimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 131, 145, 152, 158, 167, 178}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 131, 145, 154, 161, 167, 176, 187}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/report.go
+++ b/internal/route/relayer/report.go
@@ -43,6 +43,8 @@
 		a.RetryAfter = startupRetryAfter
 	case Expired:
 		a.RetryAfter = minRetryAfter
+	case NoMemory:
+		a.RetryAfter = memoryRetryAfter
 	}
 	var version uint64
 	if t := r.Table(); t != nil {
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -30,6 +30,11 @@
 	// maxMemoryMiB the most that they may name.
 	defaultMemoryMiB = 256
 	maxMemoryMiB     = 1 << 20
+	// defaultFiles is the number of file descriptors of a host whose settings name none, and
+	// minFiles and maxFiles bound what they may name.
+	defaultFiles = 4096
+	minFiles     = 64
+	maxFiles     = 1 << 20
 	// answersPerMemory is how many requests may hold all that their answers are allowed
 	// before these fill the memory of the host.
 	answersPerMemory = 64
@@ -70,6 +75,8 @@
 	// answers of backend servers to one request may hold.
 	MemoryBytes int64
 	AnswerBytes int64
+	// Files is the number of file descriptors that the host has.
+	Files int
 	// Metrics is the address of the metrics page. The zero value means no page.
 	Metrics netip.AddrPort
 }
@@ -93,6 +100,9 @@
 	// Grace is how long a planned stop may take; 0 means the default of the control
 	// host.
 	Grace time.Duration
+	// MemoryBytes and Files are the memory and the file descriptors that the host has.
+	MemoryBytes int64
+	Files       int
 	// Metrics is the address of the metrics page. The zero value means no page.
 	Metrics netip.AddrPort
 }
@@ -120,7 +130,7 @@
 func ParseRelay(name string, text []byte) (RelaySettings, error) {
 	s, root := scanner.Parse(name, text)
 	r := RelaySettings{Grace: DefaultGrace, Share: 1}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "files", "answers", "metrics"); ok {
 		var used usedAddresses
 		r.Name = readRequiredName(o, "name")
 		r.Zone = readRequiredName(o, "zone")
@@ -138,11 +148,7 @@
 		if n, ok := o.Field("share"); ok {
 			r.Share, _ = n.Float(minCoreShare, maxCoreShare)
 		}
-		r.MemoryBytes = defaultMemoryMiB << 20
-		if n, ok := o.Field("memory"); ok {
-			mib, _ := n.Uint(1, maxMemoryMiB)
-			r.MemoryBytes = int64(mib) << 20
-		}
+		r.MemoryBytes, r.Files = parseMachine(o)
 		r.AnswerBytes = min(max(r.MemoryBytes/answersPerMemory, minAnswerBytes), maxAnswerBytes)
 		if n, ok := o.Field("answers"); ok {
 			kib, _ := n.Uint(minAnswerBytes>>10, maxAnswerBytes>>10)
@@ -159,7 +165,7 @@
 func ParseMember(name string, text []byte) (MemberSettings, error) {
 	s, root := scanner.Parse(name, text)
 	var m MemberSettings
-	if o, ok := root.Object("name", "zone", "listen", "control", "port", "data", "bootstrap", "losses", "grace", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "control", "port", "data", "bootstrap", "losses", "grace", "memory", "files", "metrics"); ok {
 		var used usedAddresses
 		m.Name = readRequiredName(o, "name")
 		m.Zone = readRequiredName(o, "zone")
@@ -173,6 +179,7 @@
 		if n, ok := o.Field("grace"); ok {
 			m.Grace, _ = n.Duration(minMemberGrace, maxStopDuration)
 		}
+		m.MemoryBytes, m.Files = parseMachine(o)
 		if n, ok := o.Field("metrics"); ok {
 			m.Metrics, _ = n.Address()
 		}
@@ -196,6 +203,21 @@
 	return uint16(readRequiredField(o, "port", func(n scanner.Node) (uint64, bool) { return n.Uint(1, 65535) }))
 }
 
+// parseMachine reads the fields memory and files, the memory and the file descriptors of the
+// machine.
+func parseMachine(o scanner.Object) (memoryBytes int64, files int) {
+	memoryBytes, files = defaultMemoryMiB<<20, defaultFiles
+	if n, ok := o.Field("memory"); ok {
+		mib, _ := n.Uint(1, maxMemoryMiB)
+		memoryBytes = int64(mib) << 20
+	}
+	if n, ok := o.Field("files"); ok {
+		count, _ := n.Uint(minFiles, maxFiles)
+		files = int(count)
+	}
+	return memoryBytes, files
+}
+
 // parseSeeds reads the field control, the addresses at which operators reach
 // control hosts, and returns the inner addresses of these hosts: the inner port is
 // the same on all of them.
