connector, delegator: a status that HTTP does not define is no answer

The connector accepted any three digits: relays passed the status on, and net/http panics on 000 and 099 and closes the client's connection; a caller of the project's own interface believed a header of such a response that an order had not started. Messages of older hosts may still hold such a status.

The connector reports a broken answer, so that safe requests go elsewhere and unsafe ones end with 502; the delegator takes such a message for a lost answer. The gateway and the order executor write only statuses of their own; they have no change.

Fakes of the delegator's tests that answered 'served' without a status now have status 200, as every real answer has; no assertion is changed. The soak's servers answer with 000 where they also reset connections.

--- a/internal/backend/connector/response.go
+++ b/internal/backend/connector/response.go
@@ -18,6 +18,10 @@
 	// maxFramingBytes bounds the chunk headers and trailer fields beyond one byte per
 	// byte of the body.
 	maxFramingBytes = 16 << 10
+	// minStatus and maxStatus bound the statuses that HTTP defines. A response with another
+	// one comes from a failing server.
+	minStatus = 100
+	maxStatus = 599
 	// maxSkippedResponses bounds the responses to earlier requests that are skipped
 	// before the one to the current request.
 	maxSkippedResponses = 2
@@ -128,6 +132,9 @@
 		if res.StatusCode >= 100 && res.StatusCode < 200 && res.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+			return nil, false, errors.Errorf("status %d is not defined", res.StatusCode)
+		}
 		headLeft := c.limits.remaining
 		c.limits.remaining, c.limits.cost = 2*maxBodyBytes+maxFramingBytes, bodyCost
 		body, err := c.readBody(res)
--- a/internal/host/delegator/delegator_test.go
+++ b/internal/host/delegator/delegator_test.go
@@ -148,7 +148,7 @@
 // between hosts, also those of another version.
 func TestReasons(t *testing.T) {
 	for r := relayer.Served; r <= relayer.ClientLeft; r++ {
-		a := decodeReply(encodeAnswer(relayer.Answer{Reason: r, RetryAfter: 123 * time.Millisecond}))
+		a := decodeReply(encodeAnswer(relayer.Answer{Reason: r, Status: http.StatusOK, RetryAfter: 123 * time.Millisecond}))
 		require.Equal(t, r, a.Reason)
 		require.Equal(t, 123*time.Millisecond, a.RetryAfter)
 	}
@@ -180,7 +180,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			one := newTestHost(t, 1, nil)
-			two, three := newTestHost(t, 2, nil), newTestHost(t, 3, answerWith(relayer.Answer{Reason: relayer.Served}))
+			two, three := newTestHost(t, 2, nil), newTestHost(t, 3, answerWith(relayer.Answer{Reason: relayer.Served, Status: http.StatusOK}))
 			introduce(one, two, three)
 			prepare(two)
 			for range 5 {
@@ -211,7 +211,7 @@
 
 // TestUnknownCaller guards against requests from others than the system's own hosts.
 func TestUnknownCaller(t *testing.T) {
-	one, two := newTestHost(t, 1, nil), newTestHost(t, 2, answerWith(relayer.Answer{Reason: relayer.Served}))
+	one, two := newTestHost(t, 1, nil), newTestHost(t, 2, answerWith(relayer.Answer{Reason: relayer.Served, Status: http.StatusOK}))
 	one.delegator.SetPeers([]subscriber.Peer{{Address: two.address}})
 	two.delegator.SetPeers([]subscriber.Peer{{Address: netip.MustParseAddrPort("127.0.41.3:1")}})
 	_, err := one.delegator.Delegate(t.Context(), testRequest())
@@ -264,7 +264,7 @@
 
 // TestSentTwice guards against running a request twice because the call was sent again.
 func TestSentTwice(t *testing.T) {
-	one, two := newTestHost(t, 1, nil), newTestHost(t, 2, answerWith(relayer.Answer{Reason: relayer.Served}))
+	one, two := newTestHost(t, 1, nil), newTestHost(t, 2, answerWith(relayer.Answer{Reason: relayer.Served, Status: http.StatusOK}))
 	introduce(one, two)
 	conn, err := one.delegator.connect(t.Context(), two.address)
 	require.NoError(t, err)
@@ -306,7 +306,7 @@
 	two := newTestHost(t, 2, func(context.Context, relayer.Request) relayer.Answer {
 		close(taken)
 		<-finish
-		return relayer.Answer{Reason: relayer.Served}
+		return relayer.Answer{Reason: relayer.Served, Status: http.StatusOK}
 	})
 	introduce(one, two)
 	type result struct {
@@ -330,7 +330,7 @@
 // TestIdleConnections guards against connections between hosts that stay open, and send
 // pings, when nothing is wrong.
 func TestIdleConnections(t *testing.T) {
-	one, two := newTestHost(t, 1, nil), newTestHost(t, 2, answerWith(relayer.Answer{Reason: relayer.Served}))
+	one, two := newTestHost(t, 1, nil), newTestHost(t, 2, answerWith(relayer.Answer{Reason: relayer.Served, Status: http.StatusOK}))
 	introduce(one, two)
 	require.Empty(t, one.delegator.lastUsed)
 	_, err := one.delegator.Delegate(t.Context(), testRequest())
--- a/internal/host/delegator/message.go
+++ b/internal/host/delegator/message.go
@@ -63,10 +63,15 @@
 	}
 }
 
-// decodeReply returns the answer of a message.
+// decodeReply returns the answer of a message. An answer with a status that HTTP does not define,
+// which hosts of older versions take from failing servers, is none.
 func decodeReply(m *messenger.ForwardReply) relayer.Answer {
+	reason := reasonOf(m.GetReason())
+	if reason == relayer.Served && (m.GetStatus() < 100 || m.GetStatus() > 599) {
+		return relayer.Answer{Reason: relayer.Broken}
+	}
 	return relayer.Answer{
-		Reason: reasonOf(m.GetReason()), Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeader()), Body: m.GetBody(), Stamps: m.GetStamps(),
+		Reason: reason, Status: int(m.GetStatus()), Header: decodeHeader(m.GetHeader()), Body: m.GetBody(), Stamps: m.GetStamps(),
 		MissingParts: int(m.GetMissingParts()), RetryAfter: m.GetRetryAfter().AsDuration(),
 	}
 }
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -43,6 +43,8 @@
 type system struct {
 	*standin.System
 	t *testing.T
+	// backends holds the backend servers by service.
+	backends map[string]*standin.Backend
 }
 
 // start starts a system that serves requests.
@@ -66,17 +68,18 @@
 	s, err := standin.StartWith(binary, folder, 74, port, 3, 1, extra)
 	t.Cleanup(s.Stop)
 	require.NoError(t, err)
+	y := &system{System: s, t: t, backends: map[string]*standin.Backend{}}
 	random := rand.New(rand.NewPCG(1, 2))
 	for _, service := range append([]string{standin.OrderService}, standin.ShardServices...) {
 		b, err := standin.StartBackend("i-"+service, service, "z0", s.ControlAddresses, random.Float64, nil)
 		require.NoError(t, err)
 		t.Cleanup(b.Crash)
+		y.backends[service] = b
 	}
 	o := &standin.Operator{ControlAddresses: s.ControlAddresses}
 	acked, failure := o.Publish(1, 0, 10*time.Second)
 	require.True(t, acked, failure)
 	require.True(t, s.WaitReady(10*time.Second))
-	y := &system{System: s, t: t}
 	y.requireServed()
 	return y
 }
@@ -321,3 +324,15 @@
 		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, status)
 	}
 }
+
+// TestUndefinedStatus guards against sending clients a status that HTTP does not define, or closing
+// their connection for it: a request that no server answers ends with 502.
+func TestUndefinedStatus(t *testing.T) {
+	y := start(t)
+	y.backends[standin.OrderService].SetBehavior(standin.Behavior{StatusRate: 1})
+	for _, path := range []string{"/f/2", "/o/2"} {
+		status, err := exchange(y.EntryAddresses[0], head("POST", standin.OrderHost, path, "Content-Length: 0\r\n")+"\r\n")
+		require.NoError(t, err, path)
+		require.Equal(t, http.StatusBadGateway, status, path)
+	}
+}
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -231,7 +231,7 @@
 	case 0:
 		v.Latency = 150 * time.Millisecond
 	case 1:
-		v.ResetRate = 0.3
+		v.ResetRate, v.StatusRate = 0.3, 0.3
 	case 2:
 		v.RefuseRate = 0.5
 	case 3:
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -35,6 +35,9 @@
 	// instead of an answer, RefuseRate the share that is refused without running,
 	// DuplicateRate the share that is answered twice.
 	ResetRate, RefuseRate, DuplicateRate float64
+	// StatusRate is the share of the requests that run and are answered with a status that HTTP
+	// does not define.
+	StatusRate float64
 	// Limit is the rate limit, in requests a second, that the server names in its
 	// answers, 0 for none.
 	Limit float64
@@ -283,6 +286,10 @@
 	if b.randomFloat() < v.ResetRate {
 		panic(http.ErrAbortHandler)
 	}
+	if v.StatusRate > 0 && b.randomFloat() < v.StatusRate {
+		writeUndefinedStatus(w, id)
+		return
+	}
 	w.Header().Set("X-Response-Stamp", Signature(b.ID, id))
 	body := Records(b.Service, r.URL.Path)
 	_, _ = w.Write(body)
@@ -291,6 +298,20 @@
 	}
 }
 
+// writeUndefinedStatus answers with status 000, which net/http does not write.
+func writeUndefinedStatus(w http.ResponseWriter, id string) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := h.Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 000 Odd\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+	_ = conn.Close()
+}
+
 // writeDuplicate writes the answer a second time on the connection, as a response
 // without a request.
 func (b *Backend) writeDuplicate(w http.ResponseWriter, id string, body []byte) {
