--- a/internal/host/acceptor/acceptor.go
+++ b/internal/host/acceptor/acceptor.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// DefaultMemoryBytes and DefaultFiles are the memory and the file descriptors of a process
-	// whose settings do not name them.
+	// DefaultMemoryBytes is the memory of a process whose settings do not name it.
 	DefaultMemoryBytes = 256 << 20
-	DefaultFiles       = 4096
+	// DefaultFiles is the number of file descriptors of a process whose settings do not name it.
+	DefaultFiles = 4096
 	// DefaultHeadBytes bounds the head of a request where no lower limit is set.
 	DefaultHeadBytes = 64 << 10
 	// connectionBytes is the memory that an idle connection takes: the buffers of net/http, two
--- a/internal/host/acceptor/acceptor_test.go
+++ b/internal/host/acceptor/acceptor_test.go
@@ -63,16 +63,25 @@
 	return c
 }
 
+// reply is an answer that was read completely.
+type reply struct {
+	*http.Response
+	// size is the length of the body.
+	size int64
+}
+
 // send sends a text on a new connection and returns the answer.
-func (s *testServer) send(t *testing.T, text string) *http.Response {
+func (s *testServer) send(t *testing.T, text string) reply {
 	c := s.dial(t)
-	t.Cleanup(func() { _ = c.Close() })
+	defer func() { _ = c.Close() }()
 	_, err := io.WriteString(c, text)
 	require.NoError(t, err)
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = res.Body.Close() })
-	return res
+	defer func() { _ = res.Body.Close() }()
+	n, err := io.Copy(io.Discard, res.Body)
+	require.NoError(t, err)
+	return reply{res, n}
 }
 
 // TestPipelines guards against requests that wait for bytes that have arrived, or that are cut or
@@ -127,7 +136,7 @@
 			require.NoError(t, err, "answer %d", i)
 			require.Equal(t, http.StatusOK, res.StatusCode)
 			got, err := io.ReadAll(res.Body)
-			require.NoError(t, err)
+			require.NoError(t, errors.Join(err, res.Body.Close()))
 			require.Equal(t, body, string(got))
 		}
 		<-sent
@@ -235,10 +244,7 @@
 		return s.listener.rationer.Used() >= largeBytes/2
 	}, 5*time.Second, 5*time.Millisecond)
 	time.Sleep(20 * minLag)
-	res := s.send(t, ask)
-	n, err := io.Copy(io.Discard, res.Body)
-	require.NoError(t, err)
-	require.EqualValues(t, largeBytes, n)
-	n, _ = io.Copy(io.Discard, slow)
+	require.EqualValues(t, largeBytes, s.send(t, ask).size)
+	n, _ := io.Copy(io.Discard, slow)
 	require.Less(t, n, int64(largeBytes), "the slow reader was disconnected")
 }
--- a/internal/host/acceptor/body.go
+++ b/internal/host/acceptor/body.go
@@ -38,8 +38,8 @@
 	}
 	if t := c.listener.config.BodyTime; t > 0 {
 		// Errors mean that the client has disconnected.
-		_ = c.Conn.SetReadDeadline(time.Now().Add(t))
-		defer func() { _ = c.Conn.SetReadDeadline(time.Time{}) }()
+		_ = c.SetReadDeadline(time.Now().Add(t))
+		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
 	}
 	c.enter(rationer.Body)
 	defer c.enter(rationer.Running)
--- a/internal/host/acceptor/conn.go
+++ b/internal/host/acceptor/conn.go
@@ -191,7 +191,7 @@
 	}
 	c.enter(rationer.Head)
 	// An error means that the client has disconnected.
-	_ = c.Conn.SetReadDeadline(time.Now().Add(headTime))
+	_ = c.SetReadDeadline(time.Now().Add(headTime))
 }
 
 // skipEmpty removes empty lines before the first request and returns the number of bytes left.
@@ -250,7 +250,7 @@
 	c.held, c.cleared, c.scanned = nil, 0, 0
 	c.release(&c.heldCost)
 	// Errors mean that the client has disconnected.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
+	_ = c.SetWriteDeadline(time.Now().Add(lingerTime))
 	_, _ = io.WriteString(c.Conn, answer)
 	// A connection that is closed with unread data may lose the answer.
 	if half, ok := c.raw().(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
@@ -305,7 +305,7 @@
 		if end.Before(deadline) {
 			deadline = end
 		}
-		if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+		if err := c.SetWriteDeadline(deadline); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(b[written:min(len(b), written+writeBytes)])
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -47,6 +48,16 @@
 	backends map[string]*standin.Backend
 }
 
+// build returns the program to test.
+func build(t *testing.T, folder string) string {
+	if *program != "" {
+		return *program
+	}
+	binary, err := standin.Build(folder)
+	require.NoError(t, err)
+	return binary
+}
+
 // start starts a system that serves requests.
 func start(t *testing.T) *system {
 	if testing.Short() {
@@ -54,12 +65,7 @@
 	}
 	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
 	folder := t.TempDir()
-	binary := *program
-	if binary == "" {
-		var err error
-		binary, err = standin.Build(folder)
-		require.NoError(t, err)
-	}
+	binary := build(t, folder)
 	extra := standin.Extra{Relay: fmt.Sprintf(`"memory":%d,"files":%d,`, memoryMiB, files)}
 	extra.Member = extra.Relay
 	if *plain {
@@ -125,20 +131,27 @@
 // descriptors of its settings.
 func (y *system) requireBounded(p *standin.Process) {
 	y.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
-	require.NoError(y.t, err, "%s runs", p.Name)
+	requireBounded(y.t, p.Name, p.PID(), memoryMiB, files)
+}
+
+// requireBounded requires that the process with an id still runs, within memory and file
+// descriptors.
+func requireBounded(t *testing.T, name string, pid, memoryMiB, files int) {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err, "%s runs", name)
 	_, peak, ok := strings.Cut(string(status), "VmHWM:")
-	require.True(y.t, ok, "%s runs", p.Name)
+	require.True(t, ok, "%s runs", name)
 	kib, err := strconv.Atoi(strings.Fields(peak)[0])
-	require.NoError(y.t, err)
-	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
-	require.NoError(y.t, err)
-	y.t.Logf("%s: peak memory %d MiB, %d file descriptors", p.Name, kib>>10, len(open))
+	require.NoError(t, err)
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	require.NoError(t, err)
+	t.Logf("%s: peak memory %d MiB, %d file descriptors", name, kib>>10, len(open))
 	if kib > memoryMiB<<10 {
-		y.t.Errorf("%s used %d MiB of memory, the settings name %d", p.Name, kib>>10, memoryMiB)
+		t.Errorf("%s used %d MiB of memory, the settings name %d", name, kib>>10, memoryMiB)
 	}
 	if len(open) > files {
-		y.t.Errorf("%s has %d files open, the settings name %d", p.Name, len(open), files)
+		t.Errorf("%s has %d files open, the settings name %d", name, len(open), files)
 	}
 }
 
@@ -293,6 +306,49 @@
 	}
 }
 
+// The memory and the file descriptors of hosts whose settings do not name them.
+const (
+	defaultMemoryMiB = 256
+	defaultFiles     = 4096
+)
+
+// TestOwnInterface guards against hostile clients of an entry host of the project's own interface.
+// The host runs alone: it reads bodies before it refuses requests because it has no lease.
+func TestOwnInterface(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
+	folder := t.TempDir()
+	address := fmt.Sprintf("127.0.74.200:%d", port)
+	settings := filepath.Join(folder, "entry.json")
+	text := fmt.Sprintf(`{"name":"entry-1","zone":"z","listen":%q,"inner":"127.0.74.200:%d","control":["127.0.74.201:%d"]}`, address, port+1, port)
+	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
+	p := exec.Command(build(t, folder), "entry", "--settings", settings)
+	require.NoError(t, p.Start())
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	})
+	live := func() bool {
+		status, _ := standin.Call(http.MethodGet, "http://"+address+"/live", nil, time.Second)
+		return status == http.StatusOK
+	}
+	require.Eventually(t, live, 10*time.Second, 50*time.Millisecond)
+	for _, path := range []string{"/v1/search", "/v1/order", "/v1/announce"} {
+		crowd(t, address, 300, func(int) []string {
+			return []string{head("POST", "h", path, "Content-Length: 1000000\r\n") + "\r\n", strings.Repeat(" ", 999999)}
+		})
+	}
+	crowd(t, address, 300, func(int) []string { return []string{head("GET", "h", "/live", lines(60000))} })
+	require.Eventually(t, live, 10*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool {
+		status, body := standin.Call(http.MethodPost, "http://"+address+"/v1/search", []byte(`{"archive":"a","query":1}`), time.Second)
+		return status == http.StatusServiceUnavailable && strings.Contains(string(body), "stale")
+	}, 10*time.Second, 50*time.Millisecond)
+	requireBounded(t, "entry-1", p.Process.Pid, defaultMemoryMiB, defaultFiles)
+}
+
 // TestRequestsWithinLimits guards against single requests within the limits of the document that
 // are refused because of the form of their header lines or bodies.
 func TestRequestsWithinLimits(t *testing.T) {
