acceptor: hold what follows a head, so that a stop serves a request read by half

The acceptor passes the head only and keeps the rest. Bytes after a body can still be read together with it.

--- a/internal/host/acceptor/acceptor.go
+++ b/internal/host/acceptor/acceptor.go
@@ -75,6 +75,8 @@
 	net.Listener
 	config Config
 	scope  tally.Scope
+	// memory and connections show what the clients hold.
+	memory, connections tally.Gauge
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -90,8 +92,9 @@
 	if c.Scope == nil {
 		c.Scope = tally.NoopScope
 	}
+	scope := c.Scope.Tagged(map[string]string{"port": c.Name})
 	return &Listener{
-		Listener: l, config: c, scope: c.Scope.Tagged(map[string]string{"port": c.Name}),
+		Listener: l, config: c, scope: scope, memory: scope.Gauge("client_memory"), connections: scope.Gauge("client_connections"),
 		rationer: rationer.New(c.Limits), conns: map[*rationer.Client]*Conn{},
 	}
 }
@@ -110,6 +113,7 @@
 			l.conns[client] = c
 		}
 		closing := l.removeLocked(victim)
+		l.connections.Update(float64(l.rationer.Clients()))
 		l.mu.Unlock()
 		l.disconnect(closing)
 		if ok {
@@ -145,7 +149,7 @@
 
 // report counts an event and logs one line a second.
 func (l *Listener) report(event, cause string) {
-	l.scope.Tagged(map[string]string{"cause": cause}).Counter("clients_" + event).Inc(1)
+	l.scope.Tagged(map[string]string{"cause": cause}).Counter("client_" + event).Inc(1)
 	now := time.Now()
 	l.mu.Lock()
 	l.unreported++
@@ -155,7 +159,6 @@
 		l.lastReport, l.unreported = now, 0
 	}
 	l.mu.Unlock()
-	l.scope.Gauge("clients_memory").Update(float64(used))
 	if due && l.config.Log != nil {
 		l.config.Log.Warn("client refused or disconnected", "port", l.config.Name, "event", event, "cause", cause, "events", n, "connections", clients, "bytes", used)
 	}
--- a/internal/host/acceptor/conn.go
+++ b/internal/host/acceptor/conn.go
@@ -139,8 +139,8 @@
 	return n
 }
 
-// fill reads more of a head. A head that arrives in one piece is read into b directly; n is then
-// its length, with what follows it.
+// fill reads more of a head. A head that arrives in one piece is read into b directly, and n is then
+// its length.
 func (c *Conn) fill(b []byte) (n int, err error) {
 	if len(c.held) == 0 {
 		n, err := c.Conn.Read(b)
@@ -162,8 +162,10 @@
 			}
 			c.passed = true
 			// What follows is the body, or the next request.
-			c.scanner.scanAll(b[end:n])
-			return n, nil
+			if end < n {
+				c.held, c.scanned = append([]byte(nil), b[end:n]...), 0
+			}
+			return end, nil
 		}
 		if n > 0 {
 			if !c.grow(n, n) {
@@ -174,6 +176,7 @@
 		}
 		return 0, err
 	}
+	c.begin()
 	if len(c.held) == cap(c.held) && !c.grow(len(c.held)+1, 2*len(c.held)) {
 		return 0, c.refuse(noMemory, "no memory", b)
 	}
@@ -326,6 +329,8 @@
 	l.mu.Lock()
 	l.rationer.Leave(c.client)
 	delete(l.conns, c.client)
+	l.connections.Update(float64(l.rationer.Clients()))
+	l.memory.Update(float64(l.rationer.Used()))
 	l.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -364,6 +369,7 @@
 	l.mu.Lock()
 	clients, ok := l.rationer.Reserve(c.client, n-*cost, time.Now())
 	victims := l.removeLocked(clients...)
+	l.memory.Update(float64(l.rationer.Used()))
 	l.mu.Unlock()
 	l.disconnect(victims)
 	if ok {
@@ -380,6 +386,7 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	c.listener.rationer.Release(c.client, *cost)
+	c.listener.memory.Update(float64(c.listener.rationer.Used()))
 	*cost = 0
 }
 
--- a/internal/host/forwarder/clientconn_test.go
+++ b/internal/host/forwarder/clientconn_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
@@ -144,6 +145,44 @@
 	require.NoError(t, <-stopped)
 }
 
+// TestStopServesHalfReadRequest guards against a planned stop that closes a connection from which
+// a part of a head has been read, alone or together with the request before it: it is held until
+// the head is complete.
+func TestStopServesHalfReadRequest(t *testing.T) {
+	f, stop := startTestForwarder(t, func(*Forwarder) {})
+	var conns []net.Conn
+	var readers []*bufio.Reader
+	for _, before := range []string{"", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+		c, err := net.Dial("tcp", f.settings.Listen.String())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		_, err = io.WriteString(c, before+"GET / HTTP/1.1\r\nHost")
+		require.NoError(t, err)
+		if before != "" {
+			res, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, res.Body)
+			require.NoError(t, errors.Join(err, res.Body.Close()))
+		}
+		conns, readers = append(conns, c), append(readers, r)
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	// By then the wait for the load balancer is over and idle connections are closed.
+	time.Sleep(1400 * time.Millisecond)
+	for i, c := range conns {
+		_, err := io.WriteString(c, ": h\r\n\r\n")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(readers[i], nil)
+		require.NoError(t, err, "connection %d", i)
+		body, _ := io.ReadAll(res.Body)
+		require.Equal(t, http.StatusOK, res.StatusCode, "connection %d: %s", i, body)
+		require.NoError(t, res.Body.Close())
+	}
+	require.NoError(t, <-stopped)
+}
+
 // TestClientTimeouts guards against the timeouts of the routing document being ignored:
 // a client that sends its headers slowly gets 408, an idle connection is closed.
 func TestClientTimeouts(t *testing.T) {
