--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -57,6 +57,11 @@
 	// ExtraLatency returns the additional latency of a request that is sent to a
 	// server now, for example because a connection has to be opened. It may be nil.
 	ExtraLatency func(name string) time.Duration
+	// ExpectedTime returns the expected time in nanoseconds until a server has answered the
+	// request for which it is chosen, and whether the server has become slow for what
+	// requests cost. Where it is set, the results take the place of the latency and the queue
+	// in the score, and of a slowness that is judged by the latency. It may be nil.
+	ExpectedTime func(now time.Time, name string) (expected float64, slow, ok bool)
 
 	// zone is the host's availability zone.
 	zone string
@@ -65,6 +70,8 @@
 	// overallLatency is the average over all servers. It is assumed for a server
 	// whose own latency is unknown.
 	overallLatency average
+	// choices and changed are the counts of ExpectedChoices.
+	choices, changed uint64
 }
 
 // New returns a selector for a host in the given zone.
@@ -141,33 +148,68 @@
 // best of all, unless that one is better by a class or by maxSameZoneRatio. Servers
 // of a class above worstClass are left out.
 func (s *Selector) choose(now time.Time, r Rand, candidates, exclude []string, worstClass priorityClass) (string, bool) {
-	var best, sameZone candidate
+	// withoutTimes is the ranking as it would be without ExpectedTime.
+	var ranked, withoutTimes ranking
 	overallLatency := s.overallLatency.value(now, priorLatency)
 	for _, name := range candidates {
 		t := s.servers[name]
 		if t == nil || t.removed || t.info.Draining || slices.Contains(exclude, name) {
 			continue
 		}
-		c := candidate{
-			state: t,
-			class: t.drawClass(now, r),
-			score: (t.score(now, overallLatency) + s.extraLatency(name)) * (1 + scoreJitter*r.Float64()),
-		}
+		c := candidate{state: t, class: t.drawClass(now, r)}
+		extra, jitter := s.extraLatency(name), 1+scoreJitter*r.Float64()
 		if c.class > worstClass {
 			continue
 		}
-		best = best.betterOf(c)
-		if t.sameZone && t.inFlight < t.slots() && !t.slow(now) {
-			sameZone = sameZone.betterOf(c)
+		near, slow := t.sameZone && t.inFlight < t.slots(), t.slow(now)
+		c.score = (t.score(now, overallLatency) + extra) * jitter
+		withoutTimes.add(c, near && !slow)
+		if s.ExpectedTime != nil {
+			if expected, slowForCost, ok := s.ExpectedTime(now, name); ok {
+				slow = slowForCost
+				c.score = (expected*t.penalty(now) + extra) * jitter
+			}
+			ranked.add(c, near && !slow)
 		}
 	}
-	if best.state == nil {
+	if s.ExpectedTime == nil {
+		return withoutTimes.first()
+	}
+	name, ok := ranked.first()
+	if other, _ := withoutTimes.first(); other != name {
+		s.changed++
+	}
+	s.choices++
+	return name, ok
+}
+
+// ExpectedChoices returns how many choices were made with ExpectedTime, and how many of these
+// would have been different without it.
+func (s *Selector) ExpectedChoices() (choices, changed uint64) { return s.choices, s.changed }
+
+// ranking holds the best candidates so far, of all and of those in the host's zone that are
+// preferred.
+type ranking struct {
+	best, sameZone candidate
+}
+
+// add adds a candidate.
+func (k *ranking) add(c candidate, near bool) {
+	k.best = k.best.betterOf(c)
+	if near {
+		k.sameZone = k.sameZone.betterOf(c)
+	}
+}
+
+// first returns the name of the server to choose, and false if there is none.
+func (k *ranking) first() (string, bool) {
+	if k.best.state == nil {
 		return "", false
 	}
-	if sameZone.state != nil && sameZone.class <= best.class && sameZone.score <= maxSameZoneRatio*best.score {
-		return sameZone.state.info.Name, true
+	if k.sameZone.state != nil && k.sameZone.class <= k.best.class && k.sameZone.score <= maxSameZoneRatio*k.best.score {
+		return k.sameZone.state.info.Name, true
 	}
-	return best.state.info.Name, true
+	return k.best.state.info.Name, true
 }
 
 // extraLatency returns the result of ExtraLatency in nanoseconds, 0 if it is nil.
--- a/internal/search/selector/state.go
+++ b/internal/search/selector/state.go
@@ -96,7 +96,12 @@
 func (t *serverState) score(now time.Time, overallLatency float64) float64 {
 	latency := t.latency.value(now, overallLatency)
 	queue := (1 + float64(t.inFlight) + t.currentLoad(now)) / float64(t.slots())
-	return latency * queue * (1 + failurePenalty*t.currentFailureShare(now))
+	return latency * queue * t.penalty(now)
+}
+
+// penalty returns the factor by which recent failures raise a score.
+func (t *serverState) penalty(now time.Time) float64 {
+	return 1 + failurePenalty*t.currentFailureShare(now)
 }
 
 // slots returns the number of requests that the server runs at once, at least 1.
