relayer, loader: setting cost, by which servers are chosen by expected cost

With the setting "cost" of an entry host, reserveServer ranks servers by the estimator where it knows the route, and every send is counted from its choice to its end. The time that a send waits for a connection is no work: the latency counts from when the request is written.

--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -141,6 +141,7 @@
 		ControlAge:    func() time.Duration { return time.Since(f.watcher.State().LastReply) },
 		ReportLeaving: func(server string, incarnation uint64) { f.watcher.ReportLeaving(server, incarnation) },
 		Observe:       func(o quarantiner.Observation) bool { return f.watcher.ReportObservation(o) },
+		Cost:          s.Cost,
 		Log:           logger,
 		Scope:         scope.SubScope("relay"),
 	})
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -10,6 +10,7 @@
 
 	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/route/admitter"
+	"gentianpond/internal/route/estimator"
 	"gentianpond/internal/search/caller"
 	"gentianpond/internal/search/selector"
 )
@@ -28,8 +29,12 @@
 	metadata AnswerMetadata
 	// latency is the time until the response arrived or the send failed.
 	latency time.Duration
-	// arrivedAt is when that was.
+	// arrivedAt is when that was. writtenAt is when the request was written to a connection,
+	// the zero value if it was not.
 	arrivedAt time.Time
+	writtenAt time.Time
+	// cost is the estimator's account of the send.
+	cost estimator.Send
 	// err tells why there is no response. A response with an error status is none.
 	err error
 	// ended is true if the server has ended since the request was sent to it.
@@ -55,7 +60,14 @@
 	request.MatchesResponse = func(h http.Header) bool { return q.relayer.config.Codec.RequestID(h) == q.id }
 	paced := start
 	request.MayWait = func() bool { return q.relayer.accepts(time.Now(), s) }
-	request.MaySend = func() bool { return q.maySend(time.Now(), &r, &paced) }
+	request.MaySend = func() bool {
+		now := time.Now()
+		if !q.maySend(now, &r, &paced) {
+			return false
+		}
+		r.writtenAt = now
+		return true
+	}
 	response, err := s.pool.Do(ctx, &request)
 	r.response, r.err, r.arrivedAt = response, err, time.Now()
 	r.latency = r.arrivedAt.Sub(start)
@@ -112,6 +124,7 @@
 	defer r.mu.Unlock()
 	status := selectorStatus(res)
 	r.selector.Finished(now, res.server.Name, res.server.Incarnation, status, res.latency)
+	r.cost.finish(now, q, res)
 	if l := res.metadata.Load; l.Known {
 		res.server.load.Store(&reportedLoad{Load: l, receivedAt: now})
 		r.selector.LoadReported(now, res.server.Name, min(float64(l.Running+l.Waiting)/float64(max(l.Slots, 1)), 1))
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -75,7 +75,7 @@
 	case retrySend:
 		q.retryCount++
 	}
-	go q.send(ctx, sendResult{shard: i, server: target, alone: q.trial.running, round: q.trial.round})
+	go q.send(ctx, sendResult{shard: i, server: target, cost: s.cost, alone: q.trial.running, round: q.trial.round})
 }
 
 // chooseServer selects a server for a send. See reserveServer.
@@ -95,6 +95,7 @@
 	if cause == firstSend && !q.counted {
 		budget.AddEvent()
 	}
+	r.cost.prepare(now, q.costRequest(s.service))
 	target, withheld := r.pickServer(now, r.routing.Load(), s.service, s.triedServers)
 	if withheld > 0 && s.hedgeRetryAt.IsZero() {
 		r.countWithheld(cause, withheld)
@@ -114,6 +115,7 @@
 	}
 	r.limits.Take(now, target.Name)
 	r.selector.Started(target.Name, target.Incarnation)
+	s.cost = r.cost.begin(now, target, q.costRequest(s.service))
 	return target
 }
 
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"gentianpond/internal/backend/connector"
+	"gentianpond/internal/route/estimator"
 	"gentianpond/internal/route/gatherer"
 	"gentianpond/internal/route/router"
 	"gentianpond/internal/search/caller"
@@ -130,6 +131,8 @@
 	// attempts is the number of sends that servers may have run. It is at most
 	// len(triedServers), which counts all sends.
 	attempts int
+	// cost is the estimator's account of the send for which a server was chosen last.
+	cost estimator.Send
 	// inFlight is the number of sends whose result has not been handled.
 	inFlight int
 	// lastSent is when the latest send started.
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -165,8 +165,10 @@
 	// Observe passes on what a run of a request revealed, and returns false if it cannot.
 	// It must not block. It may be nil.
 	Observe func(o quarantiner.Observation) bool
-	Log     *log.Logger
-	Scope   tally.Scope
+	// Cost ranks servers by the expected cost of requests and the work of each server.
+	Cost  bool
+	Log   *log.Logger
+	Scope tally.Scope
 }
 
 // Relayer forwards requests to backend servers. Use New. It is safe for concurrent
@@ -188,6 +190,8 @@
 	mu sync.Mutex
 	// selector chooses the backend server for each send.
 	selector *selector.Selector
+	// cost learns what requests cost, nil unless Config.Cost is set.
+	cost *costing
 	// hedgers holds the hedgers by route name.
 	hedgers map[string]*hedger.Hedger
 	// budgets holds the budgets for extra sends by service name.
@@ -228,6 +232,9 @@
 	if c.HostBytes > 0 {
 		r.memory = connector.NewAllowance(c.HostBytes, nil)
 	}
+	if c.Cost {
+		r.cost = newCosting(r)
+	}
 	r.routing.Store(&routingState{servers: map[string]*server{}})
 	r.selector.ExtraLatency = func(name string) time.Duration {
 		if s := r.routing.Load().servers[name]; s == nil || s.pool.HasIdle() {
@@ -265,6 +272,7 @@
 			s.pool.Close()
 			r.selector.Remove(name)
 			r.limits.Remove(name)
+			r.cost.remove(name)
 		}
 	}
 	for _, b := range r.budgets {
@@ -307,6 +315,7 @@
 			return ctx.Err()
 		case now := <-ticker.C:
 			r.routing.Load().closeIdle(now)
+			r.cost.report()
 		}
 	}
 }
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -155,6 +155,7 @@
 			go current.pool.Warm(ctx)
 		}
 	}
+	r.cost.update(current)
 	next.servers[s.Name] = current
 	m := next.services[s.Service]
 	switch s.State {
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -72,6 +72,8 @@
 	AnswerBytes int64
 	// Metrics is the address of the metrics page. The zero value means no page.
 	Metrics netip.AddrPort
+	// Cost ranks backend servers by the expected cost of requests.
+	Cost bool
 }
 
 // MemberSettings holds the settings of a control host of an open group.
@@ -120,7 +122,7 @@
 func ParseRelay(name string, text []byte) (RelaySettings, error) {
 	s, root := scanner.Parse(name, text)
 	r := RelaySettings{Grace: DefaultGrace, Share: 1}
-	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "ready", "control", "port", "peer", "grace", "ratio", "extra", "window", "share", "memory", "answers", "metrics", "cost"); ok {
 		var used usedAddresses
 		r.Name = readRequiredName(o, "name")
 		r.Zone = readRequiredName(o, "zone")
@@ -151,6 +153,9 @@
 		if n, ok := o.Field("metrics"); ok {
 			r.Metrics, _ = n.Address()
 		}
+		if n, ok := o.Field("cost"); ok {
+			r.Cost, _ = n.Bool()
+		}
 	}
 	return r, s.Err()
 }
