place: ask a relay where a request would be sent now, and why

Operators could not see why a request goes to a server, or is refused, before it was sent. One question is answered at a time and its size is bounded.

The answer comes from pickServer and availabilityOf themselves, so that it follows changes of them. The random numbers, the counts of choices and the allowance are left alone; an allowance is told only if Allowances implements AllowancePeeker.

The prior of an account counts 8 samples instead of 16.

--- a/cmd/gentianpond/httpserver.go
+++ b/cmd/gentianpond/httpserver.go
@@ -25,12 +25,15 @@
 }
 
 // addMetricsServer adds a server of the metrics page, unless the settings give no
-// address for it.
-func addMetricsServer(group *runner.Group, metrics *reporter.Metrics, address netip.AddrPort) {
+// address for it. further adds further pages.
+func addMetricsServer(group *runner.Group, metrics *reporter.Metrics, address netip.AddrPort, further ...func(*http.ServeMux)) {
 	if !address.IsValid() {
 		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler)
+	for _, add := range further {
+		add(mux)
+	}
 	addHTTPServer(group, address, mux)
 }
--- a/cmd/gentianpond/main.go
+++ b/cmd/gentianpond/main.go
@@ -60,7 +60,7 @@
 	p.Version = version
 	commands := []command{
 		newEntryCommand(), newControlCommand(), newFormCommand(), newDemoCommand(), newCheckCommand(), newApplyCommand(), newShowCommand(), newStatusCommand(),
-		newSearchCommand(), newOrderCommand(), newQuarantineCommand(), newRelayCommand(), newMemberCommand(), newExplainCommand(),
+		newSearchCommand(), newOrderCommand(), newQuarantineCommand(), newRelayCommand(), newMemberCommand(), newExplainCommand(), newPlaceCommand(),
 	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
--- a/cmd/gentianpond/relay.go
+++ b/cmd/gentianpond/relay.go
@@ -62,7 +62,7 @@
 	var group runner.Group
 	f.AddTo(&group)
 	group.Add(logWriter.Run)
-	addMetricsServer(&group, metrics, s.Metrics)
+	addMetricsServer(&group, metrics, s.Metrics, func(mux *http.ServeMux) { mux.Handle("POST "+placementPath, f.NewPlacementHandler()) })
 	group.AddReload(path, func() error {
 		reloaded, err := loader.ReadRelay(path)
 		if err == nil {
--- a/internal/route/estimator/estimator.go
+++ b/internal/route/estimator/estimator.go
@@ -30,7 +30,7 @@
 	// servicePrior, accountPrior and fingerprintPrior are the evidence, in samples, at which an
 	// entry counts as much as the more general one.
 	servicePrior     = 8.0
-	accountPrior     = 16.0
+	accountPrior     = 8.0
 	fingerprintPrior = 4.0
 	// costMemory and speedMemory are the most samples that an entry averages over.
 	costMemory  = 64.0
--- a/internal/route/relayer/cost.go
+++ b/internal/route/relayer/cost.go
@@ -65,11 +65,11 @@
 	return request
 }
 
-// prepare makes the next choice of the selector one for the request, by its expected time if
-// its work is known.
-func (c *costing) prepare(now time.Time, request estimator.Request) {
+// set makes the next choice of the selector one for the request, by its expected time if its
+// work is known.
+func (c *costing) set(now time.Time, request estimator.Request) (estimator.Estimate, bool) {
 	if c == nil {
-		return
+		return estimator.Estimate{}, false
 	}
 	c.relayer.selector.ExpectedTime = nil
 	e, ok := c.estimator.Estimate(now, request)
@@ -77,14 +77,21 @@
 		c.work = e.Work
 		c.relayer.selector.ExpectedTime = c.expected
 	}
-	if c.known[request.Route] != ok {
-		c.known[request.Route] = ok
-		message := "cost of a route is unknown"
-		if ok {
-			message = "cost of a route is known"
-		}
-		c.relayer.config.Log.Info(message, "route", request.Route, "service", request.Service, "work", e.Work, "samples", e.Samples)
+	return e, ok
+}
+
+// prepare is like set, and logs when the cost of a route becomes known or unknown.
+func (c *costing) prepare(now time.Time, request estimator.Request) {
+	e, ok := c.set(now, request)
+	if c == nil || c.known[request.Route] == ok {
+		return
+	}
+	c.known[request.Route] = ok
+	message := "cost of a route is unknown"
+	if ok {
+		message = "cost of a route is known"
 	}
+	c.relayer.config.Log.Info(message, "route", request.Route, "service", request.Service, "work", e.Work, "samples", e.Samples)
 }
 
 // expectedTime is the selector's ExpectedTime.
