--- a/internal/route/relayer/cost.go
+++ b/internal/route/relayer/cost.go
@@ -14,8 +14,12 @@
 // part of the work of a request. Within a zone it is too short to matter.
 const zoneRoundTrip = 1800 * time.Microsecond
 
+// maxError bounds the recorded errors, so that none falls into the bucket without a bound,
+// whose sum is meaningless.
+const maxError = 10
+
 // errorBuckets are the bounds of the histogram of observed over expected work.
-var errorBuckets = tally.ValueBuckets{0.1, 0.25, 0.5, 0.67, 0.8, 0.9, 1.1, 1.25, 1.5, 2, 4, 10}
+var errorBuckets = tally.ValueBuckets{0.1, 0.25, 0.5, 0.67, 0.8, 0.9, 1.1, 1.25, 1.5, 2, 4, maxError}
 
 // costing ranks servers by the expected cost of the request and by the work that each
 // server still has to do. All methods may be called on nil, which does nothing: then servers
@@ -129,7 +133,7 @@
 	}
 	observed, expected, ok := c.estimator.Finish(now, res.server.Name, res.server.Incarnation, q.costRequest(res.server.Service), res.cost, result)
 	if ok && expected > 0 {
-		c.error.RecordValue(observed / expected)
+		c.error.RecordValue(min(observed/expected, maxError))
 	}
 }
 
