--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -22,6 +22,9 @@
 	// maxSameZoneRatio is the largest ratio of the score of a server in the host's
 	// zone to the best score at which the former is still preferred.
 	maxSameZoneRatio = 3.0
+	// maxSameZoneTimeRatio is the same for expected times, which depend on what the request
+	// costs and vary less than latencies do.
+	maxSameZoneTimeRatio = 1.5
 	// scoreJitter is the largest share by which a score is raised at random. It
 	// spreads the choices of many hosts over servers that look alike.
 	scoreJitter = 0.1
@@ -149,7 +152,7 @@
 // of a class above worstClass are left out.
 func (s *Selector) choose(now time.Time, r Rand, candidates, exclude []string, worstClass priorityClass) (string, bool) {
 	// withoutTimes is the ranking as it would be without ExpectedTime.
-	var ranked, withoutTimes ranking
+	ranked, withoutTimes := ranking{maxRatio: maxSameZoneTimeRatio}, ranking{maxRatio: maxSameZoneRatio}
 	overallLatency := s.overallLatency.value(now, priorLatency)
 	for _, name := range candidates {
 		t := s.servers[name]
@@ -191,6 +194,9 @@
 // preferred.
 type ranking struct {
 	best, sameZone candidate
+	// maxRatio is the largest ratio of the scores of sameZone and best at which the former is
+	// preferred.
+	maxRatio float64
 }
 
 // add adds a candidate.
@@ -206,7 +212,7 @@
 	if k.best.state == nil {
 		return "", false
 	}
-	if k.sameZone.state != nil && k.sameZone.class <= k.best.class && k.sameZone.score <= maxSameZoneRatio*k.best.score {
+	if k.sameZone.state != nil && k.sameZone.class <= k.best.class && k.sameZone.score <= k.maxRatio*k.best.score {
 		return k.sameZone.state.info.Name, true
 	}
 	return k.best.state.info.Name, true
