--- a/cmd/gentianpond/main.go
+++ b/cmd/gentianpond/main.go
@@ -61,6 +61,7 @@
 	commands := []command{
 		newEntryCommand(), newControlCommand(), newFormCommand(), newDemoCommand(), newCheckCommand(), newApplyCommand(), newShowCommand(), newStatusCommand(),
 		newSearchCommand(), newOrderCommand(), newQuarantineCommand(), newEvacuateCommand(), newRelayCommand(), newMemberCommand(), newExplainCommand(),
+		newPlaceCommand(),
 	}
 	for _, c := range commands {
 		p.AttachSubcommand(c.sub, 1)
--- a/cmd/gentianpond/relay.go
+++ b/cmd/gentianpond/relay.go
@@ -64,7 +64,7 @@
 	var group runner.Group
 	f.AddTo(&group)
 	group.Add(logWriter.Run)
-	addMetricsServer(&group, metrics, s.Metrics, acceptor.Config{Limits: acceptor.SideLimits(s.MemoryBytes, s.Files), Log: logger})
+	addMetricsServer(&group, metrics, s.Metrics, acceptor.Config{Limits: acceptor.SideLimits(s.MemoryBytes, s.Files), Log: logger}, func(mux *http.ServeMux) { mux.Handle("POST "+placementPath, f.NewPlacementHandler()) })
 	group.AddReload(path, func() error {
 		reloaded, err := loader.ReadRelay(path)
 		if err == nil {
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -160,6 +160,7 @@
 		r.selector.Update(selectorServer(s, limit))
 		r.warm(ctx, current)
 	}
+	r.cost.update(current)
 	next.servers[s.Name] = current
 	m := next.services[s.Service]
 	switch {
