cold servers: a limit for all hosts together while a server is cold

Change: pacer.Pacer has a burst time; the relayer has a second pacer with 250 ms and without probes for cold servers of services that name a rate, and a send needs room in both. The cold time comes from the start of a server, from its check-ins, and for services with a rate from the withdrawal of its zone's evacuation.

--- a/internal/control/server/checkins.go
+++ b/internal/control/server/checkins.go
@@ -20,12 +20,14 @@
 	listeningSince time.Duration
 	// lastCheckIn holds the loop's time of the latest check-in by server name.
 	lastCheckIn map[string]time.Duration
+	// coldEnds holds until when each server is cold, as the entry hosts know it, by name.
+	coldEnds map[string]coldEnd
 }
 
 // newCheckInTracker returns the tracker of a leader that begins to receive check-ins at
 // now.
 func newCheckInTracker(now time.Duration) *checkInTracker {
-	return &checkInTracker{listeningSince: now, lastCheckIn: map[string]time.Duration{}}
+	return &checkInTracker{listeningSince: now, lastCheckIn: map[string]time.Duration{}, coldEnds: map[string]coldEnd{}}
 }
 
 // recordCheckIn records that a check-in of the named backend server arrived at now.
@@ -85,7 +87,7 @@
 	if s.State != registrar.Gone {
 		l.checkIns.recordCheckIn(l.now(), s.Name)
 	}
-	verdict := l.keeper.Registry().Classify(s)
+	verdict := l.classify(s)
 	if verdict != registrar.VerdictChange {
 		l.scope.Tagged(map[string]string{"verdict": verdict.String()}).Counter("checkins").Inc(1)
 		done(&messenger.RegisterReply{Granted: true}, nil)
@@ -130,6 +132,9 @@
 	}
 	l.propose(&messenger.Command{Action: &messenger.Command_Register{Register: c}}, func(_ keeper.Result, err error) {
 		for _, e := range list {
+			if err != nil {
+				delete(l.checkIns.coldEnds, e.message.GetServer())
+			}
 			switch {
 			case errors.Is(err, replicator.ErrNotLeader):
 				e.done(&messenger.RegisterReply{Leader: l.leaderAddress()}, nil)
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -131,6 +131,9 @@
 		list, complete := l.keeper.Registry().ChangesSince(r.GetRegistry())
 		reply.Complete = complete
 		for _, s := range list {
+			if r.GetEvacuates() {
+				s.ColdRemaining = l.coldTimeOf(now, time.Now(), s)
+			}
 			reply.Registrations = append(reply.Registrations, s.Message())
 		}
 	}
--- a/internal/fleet/registrar/enums_string.go
+++ b/internal/fleet/registrar/enums_string.go
@@ -32,11 +32,12 @@
 	_ = x[VerdictStale-0]
 	_ = x[VerdictRenewal-1]
 	_ = x[VerdictChange-2]
+	_ = x[VerdictCold-3]
 }
 
-const _Verdict_name = "stalerenewalchange"
+const _Verdict_name = "stalerenewalchangecold"
 
-var _Verdict_index = [...]uint8{0, 5, 12, 18}
+var _Verdict_index = [...]uint8{0, 5, 12, 18, 22}
 
 func (i Verdict) String() string {
 	idx := int(i) - 0
--- a/internal/fleet/registrar/registrar.go
+++ b/internal/fleet/registrar/registrar.go
@@ -88,6 +88,10 @@
 	VerdictRenewal // renewal
 	// VerdictChange: the check-in changes the registry and must enter the log.
 	VerdictChange // change
+	// VerdictCold: the check-in is newer and repeats what is known, except that the server
+	// is cold for a time. Whether that time only runs down is known to who keeps a clock;
+	// the check-in changes the registry if it enters the log.
+	VerdictCold // cold
 )
 
 // Registry is the set of known backend servers. Use New.
@@ -152,6 +156,8 @@
 		return VerdictStale
 	case s.Sequence <= old.Sequence || old.State == Draining && s.State == Ready:
 		return VerdictStale
+	case s.sameContent(old) && s.ColdRemaining > 0:
+		return VerdictCold
 	case s.sameContent(old):
 		return VerdictRenewal
 	}
@@ -170,7 +176,7 @@
 // it is stale or a renewal. It reports whether the registry changed. Indexes must
 // not decrease. A server that takes over an address ends the one that used it.
 func (r *Registry) Apply(index uint64, now time.Time, s Server) bool {
-	if r.Classify(s) != VerdictChange {
+	if v := r.Classify(s); v != VerdictChange && v != VerdictCold {
 		return false
 	}
 	if s.State == Gone || s.State == Silent {
--- a/internal/fleet/registrar/registrar_test.go
+++ b/internal/fleet/registrar/registrar_test.go
@@ -55,6 +55,8 @@
 		Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
 		Sequence:    rapid.Uint64Range(1, 4).Draw(t, "sequence"),
 		State:       State(rapid.IntRange(0, int(Gone)).Draw(t, "state")),
+
+		ColdRemaining: time.Duration(rapid.IntRange(0, 1).Draw(t, "cold")) * time.Second,
 	}
 }
 
@@ -135,3 +137,23 @@
 	require.True(t, complete)
 	require.Empty(t, list)
 }
+
+// TestCold guards against a check-in that differs only in the cold time and is lost although
+// it was put into the log, or changes the order of later check-ins.
+func TestCold(t *testing.T) {
+	r := New()
+	s := Server{Name: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:1"), Slots: 1, Incarnation: 1, Sequence: 1}
+	require.True(t, r.Apply(1, epoch, s))
+	s.Sequence, s.ColdRemaining = 2, time.Second
+	require.Equal(t, VerdictCold, r.Classify(s))
+	require.True(t, r.Apply(2, epoch, s))
+	require.Equal(t, VerdictStale, r.Classify(s))
+	s.Sequence, s.ColdRemaining = 3, 0
+	require.Equal(t, VerdictRenewal, r.Classify(s))
+	require.False(t, r.Apply(3, epoch, s))
+	record, _ := r.Get("a")
+	require.Equal(t, time.Second, record.ColdRemaining)
+	require.EqualValues(t, 2, record.ChangeIndex)
+	s.Sequence, s.State = 4, Draining
+	require.Equal(t, VerdictChange, r.Classify(s))
+}
--- a/internal/route/pacer/pacer.go
+++ b/internal/route/pacer/pacer.go
@@ -10,6 +10,7 @@
 package pacer
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -45,6 +46,11 @@
 // Pacer holds the rate limits of backend servers and this host's share of them. The zero
 // value knows no limit and allows everything. It is not safe for concurrent use.
 type Pacer struct {
+	// BurstTime is the time for which the hosts together may save up what a limit allows;
+	// 0 means the default, which needs a window of some seconds to stay within a limit.
+	// With another one there are no probes.
+	BurstTime time.Duration
+
 	position Position
 	servers  map[string]*serverState
 }
@@ -240,7 +246,7 @@
 
 // share returns this host's share of the limit of a server that is in force.
 func (p *Pacer) share(now time.Time, server string, s *serverState) Share {
-	return p.position.Share(s.currentLimit(now), server)
+	return p.position.shareOf(s.currentLimit(now), server, cmp.Or(p.BurstTime, burstTime))
 }
 
 // mayProbe reports whether a request may be sent although there are no tokens, to hear
@@ -248,7 +254,7 @@
 // otherwise.
 func (p *Pacer) mayProbe(now time.Time, s *serverState, share Share) bool {
 	number, own := p.position.probeSlotAt(now)
-	return own && number != s.probedSlot && share.Rate*probeSlot.Seconds()*float64(p.position.Count) < 1
+	return own && p.BurstTime == 0 && number != s.probedSlot && share.Rate*probeSlot.Seconds()*float64(p.position.Count) < 1
 }
 
 // forgetReported forgets a server whose limit has ended, once the control hosts know
--- a/internal/route/pacer/pacer_test.go
+++ b/internal/route/pacer/pacer_test.go
@@ -117,6 +117,8 @@
 type simulatedFleet struct {
 	rand  *rand.Rand
 	limit float64
+	// burst is the Pacer.BurstTime of the hosts.
+	burst time.Duration
 	// lag is the longest time until a host hears of the limit or of a change of the
 	// number of hosts.
 	lag   time.Duration
@@ -130,9 +132,14 @@
 // second of all hosts, comes and goes. Hosts are stopped and started again if restarts
 // is set.
 func simulateFleet(r *rand.Rand, hosts int, limit, demand float64, length, lag time.Duration, restarts bool) []time.Duration {
-	f := &simulatedFleet{rand: r, limit: limit, lag: lag}
+	return (&simulatedFleet{}).simulate(r, hosts, limit, demand, length, lag, restarts)
+}
+
+// simulate is simulateFleet for a fleet that has its burst time.
+func (f *simulatedFleet) simulate(r *rand.Rand, hosts int, limit, demand float64, length, lag time.Duration, restarts bool) []time.Duration {
+	f.rand, f.limit, f.lag = r, limit, lag
 	for i := range hosts {
-		h := &simulatedHost{}
+		h := &simulatedHost{pacer: Pacer{BurstTime: f.burst}}
 		h.pacer.Move(epoch, Position{Rank: i, Count: hosts})
 		h.pacer.Observe(Observation{Server: "s", Incarnation: 1, Rate: limit, At: epoch.Add(f.delay())})
 		f.hosts = append(f.hosts, h)
@@ -169,7 +176,7 @@
 		return
 	}
 	h.downUntil = now + time.Duration(f.rand.Int64N(int64(3*time.Second)))
-	h.pacer = Pacer{}
+	h.pacer = Pacer{BurstTime: f.burst}
 	f.changes = append(f.changes, now, h.downUntil)
 	slices.Sort(f.changes)
 }
--- a/internal/route/pacer/share.go
+++ b/internal/route/pacer/share.go
@@ -15,6 +15,9 @@
 	burstTime = 1500 * time.Millisecond
 	// probeSlot is the time in which one host of the fleet may probe a limited server.
 	probeSlot = 4 * time.Second
+	// ColdBurstTime is the burst time for servers that are cold. It keeps any second within
+	// one and a half times the limit and five requests, also while hosts come and go.
+	ColdBurstTime = 250 * time.Millisecond
 )
 
 // Position is the place of a host among the entry hosts. The zero value means that it
@@ -42,6 +45,11 @@
 // Which ones is different for each server. While its position is unknown, a host has no
 // share.
 func (p Position) Share(limit float64, server string) Share {
+	return p.shareOf(limit, server, burstTime)
+}
+
+// shareOf is Share for a common burst of what the limit allows in the given time.
+func (p Position) shareOf(limit float64, server string, burstTime time.Duration) Share {
 	if p.Count <= 0 || limit <= 0 {
 		return Share{}
 	}
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -137,7 +137,7 @@
 	retryAfter := r.jitter()
 	if len(waits) >= missing {
 		for _, w := range waits[:missing] {
-			r.limits.Promise(w.server, w.until)
+			r.promiseLimits(w.server, w.until)
 		}
 		retryAfter = max(retryAfter, waits[missing-1].until.Sub(now))
 	}
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -112,7 +112,7 @@
 			return nil
 		}
 	}
-	r.limits.Take(now, target.Name)
+	r.takeLimits(now, target)
 	r.selector.Started(target.Name, target.Incarnation)
 	return target
 }
--- a/internal/route/relayer/evacuation.go
+++ b/internal/route/relayer/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"gentianpond/internal/fleet/registrar"
 )
@@ -16,12 +17,15 @@
 func (r *Relayer) SetEvacuations(list []registrar.Evacuation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	zones := map[string]bool{}
+	zones, withdrawn := map[string]bool{}, map[string]time.Time{}
 	for _, e := range list {
-		if !e.Withdrawn {
+		if e.Withdrawn {
+			withdrawn[e.Zone] = e.At
+		} else {
 			zones[e.Zone] = true
 		}
 	}
+	r.withdrawnZones = withdrawn
 	for zone := range zones {
 		if !r.evacuatedZones[zone] {
 			r.reportEvacuation("zone evacuated", zone)
--- a/internal/route/relayer/late.go
+++ b/internal/route/relayer/late.go
@@ -41,10 +41,10 @@
 	if now.Sub(*paced) <= maxPacedWait {
 		return true
 	}
-	if !r.limits.HasRoom(now, s.Name) {
+	if !r.withinLimits(now, s) {
 		return false
 	}
-	r.limits.Take(now, s.Name)
+	r.takeLimits(now, s)
 	*paced = now
 	return true
 }
--- a/internal/route/relayer/notice.go
+++ b/internal/route/relayer/notice.go
@@ -67,13 +67,13 @@
 // hasRoom reports whether a request may be sent to a server that can be reached: it wants
 // requests, and there is room within its rate limit. The caller holds the lock.
 func (r *Relayer) hasRoom(now time.Time, s *server) bool {
-	return s.pause(now) == 0 && r.limits.HasRoom(now, s.Name)
+	return s.pause(now) == 0 && r.withinLimits(now, s)
 }
 
 // nextRoom returns when hasRoom will be true, and false if that is unknown. The caller
 // holds the lock.
 func (r *Relayer) nextRoom(now time.Time, s *server) (time.Time, bool) {
-	at, ok := r.limits.NextRoom(now, s.Name)
+	at, ok := r.nextWithinLimits(now, s)
 	if pausedUntil := now.Add(s.pause(now)); pausedUntil.After(at) {
 		at = pausedUntil
 	}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -200,6 +200,13 @@
 	guard quarantiner.Guard
 	// keptReports holds observations that are not reported yet, by fingerprint.
 	keptReports map[uint64][]quarantiner.Observation
+	// cold holds the limits of cold servers, and coldStates until when servers are cold, by
+	// name.
+	cold       pacer.Pacer
+	coldStates map[string]coldState
+	// withdrawnZones holds when the evacuation of a zone was withdrawn; its servers may be
+	// cold.
+	withdrawnZones map[string]time.Time
 	// evacuatedZones holds the availability zones to whose servers no request is sent.
 	evacuatedZones map[string]bool
 	// links tells whether this host has lost its links to the servers.
@@ -222,10 +229,13 @@
 		hedgers:   map[string]*hedger.Hedger{},
 		budgets:   map[string]*hostBudget{},
 		startedAt: time.Now(),
-		throttles: map[string]*admitter.Throttle{},
-		hostCount: initialHostCount,
-		stopped:   make(chan struct{}),
-		rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+
+		cold:       pacer.Pacer{BurstTime: pacer.ColdBurstTime},
+		coldStates: map[string]coldState{},
+		throttles:  map[string]*admitter.Throttle{},
+		hostCount:  initialHostCount,
+		stopped:    make(chan struct{}),
+		rand:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	if c.HostBytes > 0 {
 		r.memory = connector.NewAllowance(c.HostBytes, nil)
@@ -256,17 +266,21 @@
 	if position.Count > 0 && position != r.limits.Position() {
 		r.hostCount = position.Count
 		r.limits.Move(time.Now(), position)
+		r.cold.Move(time.Now(), position)
 	}
 	old := r.routing.Load()
 	next := newRoutingState(table)
+	now := time.Now()
 	for _, s := range registry {
 		r.addServer(ctx, old, next, s)
+		r.learnCold(now, table, s, len(old.servers) == 0)
 	}
 	for name, s := range old.servers {
 		if _, ok := next.servers[name]; !ok {
 			s.pool.Close()
 			r.selector.Remove(name)
 			r.limits.Remove(name)
+			r.forgetCold(name)
 		}
 	}
 	for _, b := range r.budgets {
