regions: requests stay in the regions of their route and account

Cause: the document's regions were decoded and not applied; docs/accounts.md, rule 7. A server that moves to another zone is seen to.

--- a/internal/host/delegator/delegator.go
+++ b/internal/host/delegator/delegator.go
@@ -152,8 +152,9 @@
 	}
 	start := time.Now()
 	var asked []*helper
+	excluded := d.excludedFor(r)
 	for time.Since(start) < seekTimeout && ctx.Err() == nil {
-		h := d.take(time.Now(), asked)
+		h := d.take(time.Now(), append(slices.Clone(excluded), asked...))
 		if h == nil {
 			break
 		}
@@ -171,6 +172,22 @@
 	return relayer.Answer{}, relayer.ErrNotTaken
 }
 
+// excludedFor returns the hosts in zones to which the request must not be handed over.
+func (d *Delegator) excludedFor(r relayer.Request) []*helper {
+	if r.MayHandOverTo == nil {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*helper
+	for _, h := range d.helpers {
+		if !r.MayHandOverTo(h.zone) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
 // report logs and counts a request that another host took.
 func (d *Delegator) report(r relayer.Request, h *helper, a relayer.Answer, err error, took time.Duration, refusals int) {
 	d.config.Scope.Counter("handed_over").Inc(1)
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -132,6 +132,8 @@
 	}
 	f.relayer = relayer.New(relayer.Config{
 		Zone:          s.Zone,
+		Region:        s.Region,
+		Zones:         s.Zones,
 		Codec:         a.Codec,
 		Budget:        relayer.Budget{Ratio: s.Ratio, ExtraPerWindow: s.Extra, Window: s.Window},
 		TransitTime:   a.ClientMargin,
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -39,7 +39,7 @@
 			sent--
 			continue
 		}
-		switch r.availabilityOf(now, r.routing.Load(), s.service) {
+		switch r.availabilityOf(now, r.routing.Load(), s.service, q.allowsServer) {
 		case available:
 			open++
 		case limited:
@@ -85,16 +85,16 @@
 	return targets, Answer{}
 }
 
-// availabilityOf tells whether a service can get a request now. The caller holds the lock.
-func (r *Relayer) availabilityOf(now time.Time, routing *routingState, service string) availability {
+// availabilityOf tells whether a service has an allowed server that can get a request now. The caller holds the lock.
+func (r *Relayer) availabilityOf(now time.Time, routing *routingState, service string, allowed func(*server) bool) availability {
 	m := routing.services[service]
 	result := unknown
-	if slices.ContainsFunc(m.ready, func(name string) bool { return !routing.servers[name].leaving.Load() }) {
+	if slices.ContainsFunc(m.ready, func(name string) bool { return !routing.servers[name].leaving.Load() && allowed(routing.servers[name]) }) {
 		result = unreachable
 	}
 	for _, names := range [][]string{m.ready, m.silent} {
 		for _, name := range names {
-			if !routing.servers[name].reachable() {
+			if s := routing.servers[name]; !s.reachable() || !allowed(s) {
 				continue
 			}
 			if r.hasRoom(now, routing.servers[name]) {
@@ -125,7 +125,7 @@
 		var next wait
 		for _, name := range routing.services[service].ready {
 			at, ok := r.nextRoom(now, routing.servers[name])
-			if ok && routing.servers[name].reachable() && (next.server == "" || at.Before(next.until)) {
+			if ok && routing.servers[name].reachable() && q.allowsServer(routing.servers[name]) && (next.server == "" || at.Before(next.until)) {
 				next = wait{server: name, until: at}
 			}
 		}
--- a/internal/route/relayer/choose.go
+++ b/internal/route/relayer/choose.go
@@ -95,7 +95,7 @@
 	if cause == firstSend && !q.counted {
 		budget.AddEvent()
 	}
-	target, withheld := r.pickServer(now, r.routing.Load(), s.service, s.triedServers)
+	target, withheld := r.pickServer(now, r.routing.Load(), s.service, s.triedServers, q.allowsServer)
 	if withheld > 0 && s.hedgeRetryAt.IsZero() {
 		r.countWithheld(cause, withheld)
 	}
@@ -135,13 +135,13 @@
 	return min(burst/2, burst-1)
 }
 
-// pickServer returns the best server of a service that is not in tried: a ready one
+// pickServer returns the best server of a service that is allowed and not in tried: a ready one
 // or, if there is none, a silent one, which has not checked in for a while. Servers
 // that are down are skipped until a connection to them has been opened, because
 // waiting for the connection would make the answer late. Servers without room in their
 // rate limit, and those that want no requests for a time, are skipped too; withheld is the number of those that would have been
 // chosen. The caller holds the lock.
-func (r *Relayer) pickServer(now time.Time, routing *routingState, service string, tried []string) (target *server, withheld int) {
+func (r *Relayer) pickServer(now time.Time, routing *routingState, service string, tried []string, allowed func(*server) bool) (target *server, withheld int) {
 	m := routing.services[service]
 	for _, names := range [][]string{m.ready, m.silent} {
 		excluded := tried
@@ -150,7 +150,7 @@
 			if !ok {
 				break
 			}
-			if s := routing.servers[name]; s.reachable() {
+			if s := routing.servers[name]; s.reachable() && allowed(s) {
 				if r.hasRoom(now, s) {
 					return s, withheld
 				}
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -65,7 +65,7 @@
 		return q.unreachableShards > 0
 	case Shed:
 		return !q.received && slices.ContainsFunc(q.shards, func(s shardState) bool {
-			return s.noMoreSends && len(q.relayer.routing.Load().services[s.service].ready) > 0
+			return s.noMoreSends && q.hasReadyServer(s.service)
 		})
 	}
 	return false
@@ -81,6 +81,7 @@
 	r := *request
 	r.Table, r.Counted = q.table.Version, q.counted
 	r.Deadline = q.deadline
+	r.MayHandOverTo = q.allowsHost
 	if q.account != nil {
 		r.Account = q.account.Name
 	}
--- a/internal/route/relayer/late.go
+++ b/internal/route/relayer/late.go
@@ -30,7 +30,7 @@
 // when room within the server's rate limit was taken for it.
 func (q *query) maySend(now time.Time, send *sendResult, paced *time.Time) bool {
 	r, s := q.relayer, send.server
-	if !r.accepts(now, s) {
+	if !r.accepts(now, s) || !q.allowsCurrent(s) {
 		return false
 	}
 	r.mu.Lock()
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -60,6 +60,9 @@
 	Counted   bool
 	// Account is the name of the account that the other host found for the request.
 	Account string
+	// MayHandOverTo reports whether the request may be handed over to a host in an
+	// availability zone. Nil means any.
+	MayHandOverTo func(zone string) bool
 }
 
 // query is the state of one client request. Only the goroutine of run uses it; the
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -138,6 +138,10 @@
 type Config struct {
 	// Zone is the availability zone of this host.
 	Zone string
+	// Region is the region of this host, and Zones holds the region of each availability
+	// zone. Without zones all regions count as one.
+	Region string
+	Zones  map[string]string
 	// Codec writes the headers of each send and reads those of the answers.
 	Codec Codec
 	// Budget bounds the extra sends to each service.
--- a/internal/route/relayer/routing_state.go
+++ b/internal/route/relayer/routing_state.go
@@ -145,7 +145,7 @@
 		current.pool.SetLimit(limit)
 		current.pool.SetIdleTimeout(maxIdleTime(limit))
 		r.selector.Resize(s.Name, maxConcurrent(s, limit))
-		if current.State != s.State || current.Slots != s.Slots || current.evacuated != evacuated {
+		if current.State != s.State || current.Slots != s.Slots || current.Zone != s.Zone || current.evacuated != evacuated {
 			current = r.changeServer(ctx, current, s, evacuated)
 		}
 	} else {
