soak: evacuation of a zone with the leader killed

Cause: evacuations were tested inside one process only. Change: standin.Operator.Evacuate, arrivals that a backend server records, and the member that leads; one seed in four orders an evacuation and kills the leader at the same time.

--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -165,6 +165,10 @@
 		group.Go(func() { s.runClient(i, stop) })
 	}
 	group.Go(func() { s.runOperator(stop) })
+	// One seed in four has an evacuation, beside the faults that the seed chooses.
+	if s.seed%4 == 3 {
+		group.Go(func() { s.evacuateZone(fmt.Sprintf("z%d", s.seed/4%2)) })
+	}
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
 		// Several faults may be under way at the same time.
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -78,6 +78,10 @@
 	// noticedArrivals holds the arrival times of requests while the server says that it
 	// is about to stop or that it wants no requests.
 	noticedArrivals []time.Time
+	// watchedArrivals holds the arrival times of requests after watchedAfter, unless that is
+	// zero.
+	watchedArrivals []time.Time
+	watchedAfter    time.Time
 	state           string
 	sequence        int
 	cancel          context.CancelFunc
@@ -245,6 +249,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b.recordArrival()
 	v := b.behavior.Load()
 	if v.Limit > 0 {
 		w.Header().Set("Server-Limit", strconv.FormatFloat(v.Limit, 'f', -1, 64))
