--- a/internal/route/relayer/late.go
+++ b/internal/route/relayer/late.go
@@ -30,7 +30,7 @@
 // when room within the server's rate limit was taken for it.
 func (q *query) maySend(now time.Time, send *sendResult, paced *time.Time) bool {
 	r, s := q.relayer, send.server
-	if !r.accepts(now, s) {
+	if !r.accepts(now, s) || !q.allowsCurrent(s) {
 		return false
 	}
 	r.mu.Lock()
@@ -41,10 +41,10 @@
 	if now.Sub(*paced) <= maxPacedWait {
 		return true
 	}
-	if !r.limits.HasRoom(now, s.Name) {
+	if !r.withinLimits(now, s) {
 		return false
 	}
-	r.limits.Take(now, s.Name)
+	r.takeLimits(now, s)
 	*paced = now
 	return true
 }
