--- a/internal/route/admitter/draw.go
+++ b/internal/route/admitter/draw.go
@@ -30,6 +30,11 @@
 	return out
 }
 
+// RefusedShare returns the share of requests that LeaveOut leaves with too few shards.
+func RefusedShare(shares []float64, spare int) float64 {
+	return min(commonRefusals(shares, spare), separateRefusals(shares, spare))
+}
+
 // commonRefusals returns the share of requests that lack more than spare shards if one draw
 // decides for all shards: what the spare+1 most congested shards all drop.
 func commonRefusals(shares []float64, spare int) float64 {
--- a/internal/route/relayer/place.go
+++ b/internal/route/relayer/place.go
@@ -6,6 +6,7 @@
 
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/guard/quarantiner"
+	"gentianpond/internal/route/admitter"
 	"gentianpond/internal/route/estimator"
 	"gentianpond/internal/route/router"
 )
@@ -194,7 +195,7 @@
 		if !q.route.Fanout() {
 			s.Weight = q.route.Targets[i].Weight / max(weight, 1e-9)
 		}
-		state := r.availabilityOf(now, routing, name)
+		state := r.availabilityOf(now, routing, name, q.allowsServer)
 		s.State = [...]string{unknown: "no server", unreachable: "unreachable", limited: "limited", available: "available"}[state]
 		switch state {
 		case available:
@@ -223,20 +224,11 @@
 		}
 		return share
 	}
-	// probabilities[n] is the probability that n of the services so far get the request.
-	probabilities := make([]float64, len(services)+1)
-	probabilities[0] = 1
+	shares := make([]float64, len(services))
 	for i, s := range services {
-		for n := i + 1; n > 0; n-- {
-			probabilities[n] = probabilities[n]*(1-s.Sent) + probabilities[n-1]*s.Sent
-		}
-		probabilities[0] *= 1 - s.Sent
-	}
-	share := 0.0
-	for n := range min(required, len(probabilities)) {
-		share += probabilities[n]
+		shares[i] = s.Sent
 	}
-	return share
+	return admitter.RefusedShare(shares, len(services)-required)
 }
 
 // placeServers adds the servers of a service and the one that would be chosen. The caller
@@ -248,14 +240,14 @@
 		s.Cost, s.Samples, s.Account, s.Request = milliseconds(estimate.Work), estimate.Samples, estimate.Account, estimate.Fingerprint
 	}
 	r.selector.Uncounted(func() {
-		if target, _ := r.pickServer(now, routing, s.Name, nil); target != nil {
+		if target, _ := r.pickServer(now, routing, s.Name, nil, q.allowsServer); target != nil {
 			s.Chosen = target.Name
 		}
 	})
 	m := routing.services[s.Name]
 	for _, names := range [][]string{m.ready, m.silent} {
 		for _, name := range names {
-			c := r.describe(now, routing.servers[name])
+			c := q.describe(now, routing.servers[name])
 			if known {
 				expected, slow, _ := r.cost.expectedTime(now, name)
 				c.Expected, c.Slow = milliseconds(time.Duration(expected)), slow
@@ -267,7 +259,8 @@
 }
 
 // describe returns what is known of a server. The caller holds the lock.
-func (r *Relayer) describe(now time.Time, s *server) Candidate {
+func (q *query) describe(now time.Time, s *server) Candidate {
+	r := q.relayer
 	c := Candidate{
 		Name: s.Name, Zone: s.Zone, State: "ready", Slots: s.Slots, Limit: r.limits.Limit(s.Name), Pause: milliseconds(s.pause(now)),
 		Connect: milliseconds(r.selector.ExtraLatency(s.Name)),
@@ -281,6 +274,7 @@
 	}{
 		{"down", s.down.Load()}, {"misdirected", s.misdirected.Load()}, {"leaving", s.leaving.Load()},
 		{"paused", c.Pause > 0}, {"rate limit", !r.limits.HasRoom(now, s.Name)},
+		{"region", !q.allowsServer(s)}, {"cold limit", !r.cold.HasRoom(now, s.Name)},
 	} {
 		if o.out {
 			c.Out = append(c.Out, o.reason)
