cold servers: more hosts have a share, and the same ones for all shards

Cause: with the burst of a quarter of a second, few hosts of a large fleet have a share of a cold server, different ones for each server; while all servers are cold, no host could serve a fan-out. Change: Observation.Group, the same holders for the servers of all shards, and 3 of the 5 extra requests as common burst. Most hosts still refuse fan-outs while all servers are cold.

--- a/internal/route/pacer/pacer.go
+++ b/internal/route/pacer/pacer.go
@@ -32,6 +32,9 @@
 	Incarnation uint64
 	// Rate is the limit in requests a second, 0 if the server named none.
 	Rate float64
+	// Group names servers of which the same hosts have a share, so that one host can send to
+	// all of them. If it is empty, the hosts are different ones for each server.
+	Group string
 	// At is when a host received the answer that showed it.
 	At time.Time
 }
@@ -50,6 +53,9 @@
 	// 0 means the default, which needs a window of some seconds to stay within a limit.
 	// With another one there are no probes.
 	BurstTime time.Duration
+	// ExtraBurst is the number of requests by which the common burst is larger. In large
+	// fleets as many more hosts have a share.
+	ExtraBurst float64
 
 	position Position
 	servers  map[string]*serverState
@@ -58,6 +64,8 @@
 // serverState is the state of a server that names a limit or has done so recently.
 type serverState struct {
 	incarnation uint64
+	// group is Observation.Group.
+	group string
 	// limit is the limit in force in requests a second. If endedAt is set, it is the
 	// last one before the end.
 	limit   float64
@@ -140,6 +148,7 @@
 		s = &serverState{incarnation: o.Incarnation, refilledAt: now, probedSlot: probeSlotNumber(now)}
 		p.servers[o.Server] = s
 	}
+	s.group = o.Group
 	return s
 }
 
@@ -246,7 +255,7 @@
 
 // share returns this host's share of the limit of a server that is in force.
 func (p *Pacer) share(now time.Time, server string, s *serverState) Share {
-	return p.position.shareOf(s.currentLimit(now), server, cmp.Or(p.BurstTime, burstTime))
+	return p.position.shareOf(s.currentLimit(now), cmp.Or(s.group, server), cmp.Or(p.BurstTime, burstTime), p.ExtraBurst)
 }
 
 // mayProbe reports whether a request may be sent although there are no tokens, to hear
--- a/internal/route/pacer/pacer_test.go
+++ b/internal/route/pacer/pacer_test.go
@@ -119,6 +119,8 @@
 	limit float64
 	// burst is the Pacer.BurstTime of the hosts.
 	burst time.Duration
+	// extra is the Pacer.ExtraBurst of the hosts.
+	extra float64
 	// lag is the longest time until a host hears of the limit or of a change of the
 	// number of hosts.
 	lag   time.Duration
@@ -139,7 +141,7 @@
 func (f *simulatedFleet) simulate(r *rand.Rand, hosts int, limit, demand float64, length, lag time.Duration, restarts bool) []time.Duration {
 	f.rand, f.limit, f.lag = r, limit, lag
 	for i := range hosts {
-		h := &simulatedHost{pacer: Pacer{BurstTime: f.burst}}
+		h := &simulatedHost{pacer: Pacer{BurstTime: f.burst, ExtraBurst: f.extra}}
 		h.pacer.Move(epoch, Position{Rank: i, Count: hosts})
 		h.pacer.Observe(Observation{Server: "s", Incarnation: 1, Rate: limit, At: epoch.Add(f.delay())})
 		f.hosts = append(f.hosts, h)
@@ -176,7 +178,7 @@
 		return
 	}
 	h.downUntil = now + time.Duration(f.rand.Int64N(int64(3*time.Second)))
-	h.pacer = Pacer{BurstTime: f.burst}
+	h.pacer = Pacer{BurstTime: f.burst, ExtraBurst: f.extra}
 	f.changes = append(f.changes, now, h.downUntil)
 	slices.Sort(f.changes)
 }
--- a/internal/route/pacer/share.go
+++ b/internal/route/pacer/share.go
@@ -18,6 +18,8 @@
 	// ColdBurstTime is the burst time for servers that are cold. It keeps any second within
 	// one and a half times the limit and five requests, also while hosts come and go.
 	ColdBurstTime = 250 * time.Millisecond
+	// ColdExtraBurst uses a part of the five requests.
+	ColdExtraBurst = 3
 )
 
 // Position is the place of a host among the entry hosts. The zero value means that it
@@ -45,15 +47,16 @@
 // Which ones is different for each server. While its position is unknown, a host has no
 // share.
 func (p Position) Share(limit float64, server string) Share {
-	return p.shareOf(limit, server, burstTime)
+	return p.shareOf(limit, server, burstTime, 0)
 }
 
-// shareOf is Share for a common burst of what the limit allows in the given time.
-func (p Position) shareOf(limit float64, server string, burstTime time.Duration) Share {
+// shareOf is Share for a common burst of what the limit allows in the given time, and extra
+// requests more.
+func (p Position) shareOf(limit float64, server string, burstTime time.Duration, extra float64) Share {
 	if p.Count <= 0 || limit <= 0 {
 		return Share{}
 	}
-	burst := max(1, limit*burstTime.Seconds())
+	burst := max(1, limit*burstTime.Seconds()+extra)
 	holders := int(min(float64(p.Count), burst))
 	// The holders are neighbors by rank, so that a change of the number of hosts moves
 	// only a few shares.
--- a/internal/route/relayer/cold.go
+++ b/internal/route/relayer/cold.go
@@ -29,13 +29,33 @@
 	startedAt, reported time.Time
 	// until is when the server is warm by all that is known.
 	until time.Time
+	// group is shardGroup for a server of a shard of a fan-out.
+	group string
+}
+
+// shardGroup is the pacer's group of the servers of all shards of fan-outs. While many of them
+// are cold, a fan-out can be served only by a host that has a share of all.
+const shardGroup = "shards"
+
+// shardServices returns the services that are shards of fan-outs.
+func shardServices(table *router.Table) map[string]bool {
+	shards := map[string]bool{}
+	if table == nil {
+		return shards
+	}
+	for _, route := range table.Routes() {
+		for _, name := range route.Shards {
+			shards[name] = true
+		}
+	}
+	return shards
 }
 
 // learnCold records what a record of the registry, as it came at now, says about the cold
-// time of a server, and limits a cold one. first is true for the first registry that this
+// time of a server, and limits a cold one. shards holds the services that are shards. first is true for the first registry that this
 // host has: its records may be old, and the incarnation, the server's start in milliseconds,
 // tells how old. The caller holds the lock.
-func (r *Relayer) learnCold(now time.Time, table *router.Table, s registrar.Server, first bool) {
+func (r *Relayer) learnCold(now time.Time, table *router.Table, shards map[string]bool, s registrar.Server, first bool) {
 	state, known := r.coldStates[s.Name]
 	if !known || state.incarnation != s.Incarnation {
 		state = coldState{incarnation: s.Incarnation, startedAt: now}
@@ -56,6 +76,10 @@
 		state.until = latest(state.until, withdrawn.Add(service.ColdTime))
 	}
 	state.until = state.until.Add(coldMargin)
+	state.group = ""
+	if shards[s.Service] {
+		state.group = shardGroup
+	}
 	r.coldStates[s.Name] = state
 	if state.until.After(now) {
 		r.setColdLimit(now, s, service.ColdRate)
@@ -72,7 +96,7 @@
 
 // setColdLimit sets the limit of a cold server, 0 for none. The caller holds the lock.
 func (r *Relayer) setColdLimit(now time.Time, s registrar.Server, rate float64) {
-	c, ok := r.cold.Observe(pacer.Observation{Server: s.Name, Incarnation: s.Incarnation, Rate: rate, At: now})
+	c, ok := r.cold.Observe(pacer.Observation{Server: s.Name, Incarnation: s.Incarnation, Rate: rate, Group: r.coldStates[s.Name].group, At: now})
 	if !ok {
 		return
 	}
--- a/internal/route/relayer/cold_test.go
+++ b/internal/route/relayer/cold_test.go
@@ -129,3 +129,35 @@
 	p.Observe(pacer.Observation{Server: "s", Incarnation: 1, Rate: 100, At: now})
 	require.False(t, p.HasRoom(now.Add(time.Minute), "s"))
 }
+
+// TestColdShards guards against a fleet in which no host can serve a fan-out while all servers
+// are cold, because each has a share of some of them only.
+func TestColdShards(t *testing.T) {
+	env := newTestEnv(t, []router.Route{fanoutRoute(1)}, shardServers(1))
+	var services []router.Service
+	for _, name := range fanoutRoute(1).Shards {
+		services = append(services, router.Service{Name: name, ConnectionLimit: 100, ColdRate: 8, ColdTime: time.Minute})
+	}
+	table, err := router.New(2, []router.Route{fanoutRoute(1)}, services, router.Limits{})
+	require.NoError(t, err)
+	for _, b := range env.servers {
+		b.server.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	const hosts = 54
+	able := 0
+	for rank := range hosts {
+		r := newTestRelayer()
+		r.Update(t.Context(), table, env.registry(), position(rank, hosts))
+		r.mu.Lock()
+		room := 0
+		for _, s := range r.routing.Load().servers {
+			if r.withinLimits(time.Now().Add(5*time.Second), s) {
+				room++
+			}
+		}
+		r.mu.Unlock()
+		require.Contains(t, []int{0, len(env.servers)}, room)
+		able += room
+	}
+	require.Positive(t, able)
+}
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -234,7 +234,7 @@
 		budgets:   map[string]*hostBudget{},
 		startedAt: time.Now(),
 
-		cold:       pacer.Pacer{BurstTime: pacer.ColdBurstTime},
+		cold:       pacer.Pacer{BurstTime: pacer.ColdBurstTime, ExtraBurst: pacer.ColdExtraBurst},
 		coldStates: map[string]coldState{},
 		throttles:  map[string]*admitter.Throttle{},
 		hostCount:  initialHostCount,
@@ -274,10 +274,10 @@
 	}
 	old := r.routing.Load()
 	next := newRoutingState(table)
-	now := time.Now()
+	now, shards := time.Now(), shardServices(table)
 	for _, s := range registry {
 		r.addServer(ctx, old, next, s)
-		r.learnCold(now, table, s, len(old.servers) == 0)
+		r.learnCold(now, table, shards, s, len(old.servers) == 0)
 	}
 	for name, s := range old.servers {
 		if _, ok := next.servers[name]; !ok {
