soak: a member of the last landing beside an evacuation

Cause: that members of the last landing ignore the command was shown for decoded messages only. It was not seen failing: nothing here writes a command that the old build does not know.

--- a/test/soak/evacuation_test.go
+++ b/test/soak/evacuation_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"fmt"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,3 +54,33 @@
 	require.Empty(t, s.failures)
 	require.Greater(t, s.served.Load(), served)
 }
+
+// TestOldMemberIgnoresEvacuation guards against an order that ends the members of the last
+// landing, or that keeps them from following the log.
+func TestOldMemberIgnoresEvacuation(t *testing.T) {
+	binary, root := build(t)
+	landed := buildLanded(t, root)
+	s, err := startSoak(binary, seedFolder(root, 93), 93)
+	require.NoError(t, err)
+	defer s.close()
+	old := s.system.Members[0]
+	require.NoError(t, old.Signal(syscall.SIGTERM))
+	old.Wait(memberStopLimit)
+	old.SetBinary(landed)
+	require.NoError(t, old.Restart())
+	// Only members of this build are asked: the old one does not know the path.
+	operator := standin.Operator{ControlAddresses: s.system.ControlAddresses[1:]}
+	for _, withdraw := range []bool{false, true, false} {
+		acked, failure := operator.Evacuate("z0", withdraw, recoveryLimit)
+		require.Empty(t, failure)
+		require.True(t, acked)
+		s.publishDocument(0)
+	}
+	version := s.operator.AckedVersion()
+	require.Eventually(t, func() bool {
+		status, body := standin.Call("GET", "http://"+s.system.ControlAddresses[0]+"/v1/configuration", nil, time.Second)
+		return status == 200 && strings.Contains(string(body), fmt.Sprintf(`"version":%d`, version))
+	}, recoveryLimit, 50*time.Millisecond, "the old member does not answer")
+	require.NoError(t, old.Signal(syscall.Signal(0)), "the old member has ended")
+	require.Empty(t, s.failures)
+}
