replicator: ask for votes soon after a start

Change: a member asks for pre-votes from a quarter to three quarters of the election timeout after its start. Members that hear from a leader ignore them, and the usual election follows if the others do not run yet. Tests: TestStartTogether (no leader within the timeout before), TestStartBesideLeader, and the simulations of the package.

--- a/internal/control/replicator/core.go
+++ b/internal/control/replicator/core.go
@@ -158,6 +158,9 @@
 	lastLeaderContact time.Duration
 	// electionDeadline is when a member without a leader starts an election.
 	electionDeadline time.Duration
+	// startVoteAt is when a member that has just started asks for votes for the first time,
+	// 0 after that. See resetStartVote.
+	startVoteAt time.Duration
 	// votesGranted holds the ids that granted this member their vote or
 	// pre-vote.
 	votesGranted map[uint64]bool
@@ -230,6 +233,7 @@
 		c.votedFor = 0
 	}
 	c.resetElectionDeadline()
+	c.resetStartVote()
 	return c, nil
 }
 
@@ -322,6 +326,12 @@
 		c.tickLeader()
 		return
 	}
+	if c.startVoteAt > 0 && c.now >= c.startVoteAt {
+		c.startVoteAt = 0
+		if c.leaderID == 0 && c.role == RoleFollower {
+			c.preCampaign()
+		}
+	}
 	if c.now >= c.electionDeadline {
 		c.leaderID = 0
 		c.resetElectionDeadline()
@@ -357,6 +367,15 @@
 	c.electionDeadline = c.now + c.cfg.ElectionTimeout + time.Duration(spread)
 }
 
+// resetStartVote draws the time of the first vote that a member asks for after its start:
+// from a quarter to three quarters of the election timeout. When all members have started
+// again there is no leader to wait for, and a pre-vote does not disturb one that there is:
+// members that hear from it ignore the request. If the others do not run yet, the election
+// follows at its usual time.
+func (c *Core) resetStartVote() {
+	c.startVoteAt = c.now + c.cfg.ElectionTimeout/4 + time.Duration(c.cfg.Rand.Int64N(int64(c.cfg.ElectionTimeout/2)))
+}
+
 // becomeFollower enters term as a follower of leader, which is 0 if unknown.
 func (c *Core) becomeFollower(term, leader uint64) {
 	if c.role == RoleLeader {
--- a/internal/control/replicator/core_test.go
+++ b/internal/control/replicator/core_test.go
@@ -93,6 +93,52 @@
 
 // newThreeVoterCore returns member 1 of a group of three voters, with the given
 // state on disk.
+// startThree returns three voters of one group that have just started.
+func startThree(t *testing.T) map[uint64]*Core {
+	snap := Bootstrap([]byte("state"), newMember(1, true), newMember(2, true), newMember(3, true))
+	return map[uint64]*Core{1: newCore(t, 1, snap), 2: newCore(t, 2, snap), 3: newCore(t, 3, snap)}
+}
+
+// TestStartTogether guards against a group without a leader for a whole election timeout after
+// all of its members have started again.
+func TestStartTogether(t *testing.T) {
+	cores := startThree(t)
+	leaders := 0
+	for now := time.Duration(0); now < defaultElectionTimeout; now += 10 * time.Millisecond {
+		for _, c := range cores {
+			c.Tick(now)
+		}
+		deliverAll(t, now, cores, map[uint64][]string{})
+	}
+	for _, c := range cores {
+		if c.Status().Role == RoleLeader {
+			leaders++
+		}
+	}
+	require.Equal(t, 1, leaders)
+}
+
+// TestStartBesideLeader guards against a member that disturbs the leader when it starts.
+func TestStartBesideLeader(t *testing.T) {
+	cores := startThree(t)
+	late := cores[3]
+	delete(cores, 3)
+	now := 2 * defaultElectionTimeout
+	cores[1].Tick(now)
+	deliverAll(t, now, cores, map[uint64][]string{})
+	require.Equal(t, RoleLeader, cores[1].Status().Role)
+	term := cores[1].Status().Term
+	cores[3] = late
+	for end := now + 2*defaultElectionTimeout; now < end; now += 10 * time.Millisecond {
+		for _, c := range cores {
+			c.Tick(now)
+		}
+		deliverAll(t, now, cores, map[uint64][]string{})
+		require.Equal(t, RoleLeader, cores[1].Status().Role)
+	}
+	require.Equal(t, term, cores[1].Status().Term)
+}
+
 func newThreeVoterCore(t *testing.T, hs HardState, entries ...Entry) *Core {
 	t.Helper()
 	snap := Bootstrap(nil, newMember(1, true))
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -28,9 +28,10 @@
 	// and have told the lenders, which have not heard from it for longer than heardTime.
 	aloneAfter = 7 * time.Second
 	// heardTime is how long a lender counts a host as present that is out of touch with the
-	// control hosts and has asked it. PingInterval is how often such a host asks all lenders
-	// at least.
-	heardTime    = 3 * time.Second
+	// control hosts and has asked it.
+	heardTime = 3 * time.Second
+	// PingInterval is how often a host that is out of touch with the control hosts asks all
+	// lenders at least.
 	PingInterval = time.Second
 	// aloneUntil is the time after the last contact until which it does. The control hosts
 	// count it as absent for longer.
