allotter: room in an allowance goes first to requests that can be answered in time

Change: a request is late if its latency objective has passed by the time that the client has left of the route's time limit; the lender leaves a quarter of the burst to others.

--- a/internal/host/lender/lender.go
+++ b/internal/host/lender/lender.go
@@ -191,7 +191,7 @@
 }
 
 // Take implements relayer.Allowances.
-func (l *Lender) Take(ctx context.Context, a *router.Account) (wait time.Duration, ok bool) {
+func (l *Lender) Take(ctx context.Context, a *router.Account, late bool) (wait time.Duration, ok bool) {
 	now := time.Now()
 	end := now.Add(askTime)
 	steps, wait, quiet := l.steps(now, a.Name)
@@ -204,7 +204,7 @@
 		if i+1 < len(steps) {
 			limit = now.Add(firstAskTime)
 		}
-		verdict, w := l.try(ctx, s, a.Name, limit)
+		verdict, w := l.try(ctx, s, a.Name, late, limit)
 		switch {
 		case verdict == allotter.Granted:
 			l.config.Scope.Counter("granted").Inc(1)
@@ -250,9 +250,9 @@
 }
 
 // try makes one attempt to take a request until a time.
-func (l *Lender) try(ctx context.Context, s allotter.Step, account string, until time.Time) (allotter.Verdict, time.Duration) {
+func (l *Lender) try(ctx context.Context, s allotter.Step, account string, late bool, until time.Time) (allotter.Verdict, time.Duration) {
 	if s.Here {
-		return l.lend(account, s.Backup)
+		return l.lend(account, s.Backup, late)
 	}
 	l.mu.Lock()
 	l.allotter.Asking(time.Now(), s.Address)
@@ -260,7 +260,7 @@
 	l.config.Scope.Counter("asked").Inc(1)
 	callCtx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	reply, err := l.ask(callCtx, s, account)
+	reply, err := l.ask(callCtx, s, account, late)
 	switch {
 	case err == nil:
 		l.recordAnswer(s.Address)
@@ -279,12 +279,12 @@
 }
 
 // ask sends a request for an allowance.
-func (l *Lender) ask(ctx context.Context, s allotter.Step, account string) (*messenger.TakeReply, error) {
+func (l *Lender) ask(ctx context.Context, s allotter.Step, account string, late bool) (*messenger.TakeReply, error) {
 	conn, err := l.conns.Get(s.Address)
 	if err != nil {
 		return nil, err
 	}
-	return messenger.NewRelayClient(conn).Take(ctx, &messenger.TakeRequest{Account: account, Backup: s.Backup, Apart: l.isApart()})
+	return messenger.NewRelayClient(conn).Take(ctx, &messenger.TakeRequest{Account: account, Backup: s.Backup, Apart: l.isApart(), Late: late})
 }
 
 // isApart reports whether this host is out of touch with the control hosts.
@@ -323,12 +323,12 @@
 }
 
 // lend grants a request as the lender of the account or its backup.
-func (l *Lender) lend(account string, backup bool) (allotter.Verdict, time.Duration) {
+func (l *Lender) lend(account string, backup, late bool) (allotter.Verdict, time.Duration) {
 	now, contactAt := time.Now(), l.config.ContactAt()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.allotter.Contact(now, contactAt)
-	return l.allotter.Lend(now, account, backup)
+	return l.allotter.Lend(now, account, backup, late)
 }
 
 // Return implements relayer.Allowances. A request that was granted elsewhere than where it is
--- a/internal/host/lender/lender_test.go
+++ b/internal/host/lender/lender_test.go
@@ -103,7 +103,7 @@
 // takeAll takes requests until one is refused and returns how many were granted.
 func (h *testHost) takeAll(t *testing.T) (granted int, wait time.Duration) {
 	for {
-		w, ok := h.lender.Take(t.Context(), account())
+		w, ok := h.lender.Take(t.Context(), account(), false)
 		if !ok {
 			return granted, w
 		}
@@ -123,21 +123,21 @@
 	b.warm(t, a.address)
 	c.warm(t, a.address)
 	for _, h := range []*testHost{a, b, c} {
-		_, ok := h.lender.Take(t.Context(), account())
+		_, ok := h.lender.Take(t.Context(), account(), false)
 		require.True(t, ok)
 	}
 	granted, wait := b.takeAll(t)
 	require.Equal(t, burst-3, granted)
 	require.Greater(t, wait, 50*time.Second)
 	require.EqualValues(t, 0, b.count("fallen_back"))
-	_, ok := c.lender.Take(t.Context(), account())
+	_, ok := c.lender.Take(t.Context(), account(), false)
 	require.False(t, ok)
 
 	b.lender.Return(account())
 	b.lender.giveBack(t.Context())
-	_, ok = a.lender.Take(t.Context(), account())
+	_, ok = a.lender.Take(t.Context(), account(), false)
 	require.True(t, ok)
-	_, ok = a.lender.Take(t.Context(), account())
+	_, ok = a.lender.Take(t.Context(), account(), false)
 	require.False(t, ok)
 }
 
@@ -155,12 +155,12 @@
 		h := newTestHost(t, byte(10+i), true)
 		introduce(t, address, h)
 		start := time.Now()
-		_, _ = h.lender.Take(t.Context(), account())
+		_, _ = h.lender.Take(t.Context(), account(), false)
 		require.Less(t, time.Since(start), askTime+30*time.Millisecond)
 		require.EqualValues(t, 1, h.count("unanswered"))
 		start = time.Now()
 		for range 50 {
-			_, _ = h.lender.Take(t.Context(), account())
+			_, _ = h.lender.Take(t.Context(), account(), false)
 		}
 		require.Less(t, time.Since(start), askTime)
 		require.EqualValues(t, 1, h.count("asked"))
@@ -186,21 +186,21 @@
 	a, b := newTestHost(t, 30, true), newTestHost(t, 31, true)
 	introduce(t, a.address, a, b)
 	b.warm(t, a.address)
-	_, ok := b.lender.Take(t.Context(), account())
+	_, ok := b.lender.Take(t.Context(), account(), false)
 	require.True(t, ok)
 	a.restartOutOfTouch()
 	introduce(t, a.address, a, b)
-	_, ok = b.lender.Take(t.Context(), account())
+	_, ok = b.lender.Take(t.Context(), account(), false)
 	require.False(t, ok, "the lender is out of touch")
 	require.False(t, a.lender.KnowsLending())
 	require.EqualValues(t, 2, b.count("asked"))
 	b.restartOutOfTouch()
 	introduce(t, a.address, a, b)
-	_, ok = b.lender.Take(t.Context(), account())
+	_, ok = b.lender.Take(t.Context(), account(), false)
 	require.False(t, ok, "both are out of touch")
 	a.touch(time.Now())
 	introduce(t, a.address, a, b)
-	_, ok = b.lender.Take(t.Context(), account())
+	_, ok = b.lender.Take(t.Context(), account(), false)
 	require.True(t, ok, "the lender is in touch")
 }
 
@@ -217,7 +217,7 @@
 	introduce(t, a.address, a)
 	introduce(t, a.address, b)
 	b.warm(t, a.address)
-	_, ok := b.lender.Take(t.Context(), account())
+	_, ok := b.lender.Take(t.Context(), account(), false)
 	require.False(t, ok)
 	_, ok = b.lender.Service().Take(a.address.Addr(), &messenger.TakeRequest{Account: "one"})
 	require.False(t, ok)
@@ -235,11 +235,11 @@
 	require.True(t, a.lender.Ready())
 	require.True(t, a.lender.MayLend())
 	a.lender.StopLending()
-	_, ok := b.lender.Take(t.Context(), account())
+	_, ok := b.lender.Take(t.Context(), account(), false)
 	require.True(t, ok, "the control hosts do not know it yet")
 	require.False(t, a.lender.MayLend())
 	for _, h := range []*testHost{a, b} {
-		_, ok = h.lender.Take(t.Context(), account())
+		_, ok = h.lender.Take(t.Context(), account(), false)
 		require.False(t, ok)
 	}
 }
--- a/internal/host/lender/run.go
+++ b/internal/host/lender/run.go
@@ -49,7 +49,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, giveTime)
 			defer cancel()
-			if _, err := l.ask(ctx, allotter.Step{Address: o.Address}, ""); err == nil {
+			if _, err := l.ask(ctx, allotter.Step{Address: o.Address}, "", false); err == nil {
 				l.recordAnswer(o.Address)
 			}
 		}()
--- a/internal/host/lender/service.go
+++ b/internal/host/lender/service.go
@@ -27,7 +27,7 @@
 		s.lender.allotter.Heard(time.Now(), caller)
 		s.lender.mu.Unlock()
 	}
-	verdict, wait := s.lender.lend(r.GetAccount(), r.GetBackup())
+	verdict, wait := s.lender.lend(r.GetAccount(), r.GetBackup(), r.GetLate())
 	s.lender.config.Scope.Counter("served").Inc(1)
 	reply := &messenger.TakeReply{Verdict: uint32(verdict)}
 	if wait > 0 {
--- a/internal/route/allotter/allotter.go
+++ b/internal/route/allotter/allotter.go
@@ -382,8 +382,8 @@
 }
 
 // Lend grants a request as the lender of an account or as its backup, or tells after what
-// time there will be room.
-func (a *Allotter) Lend(now time.Time, name string, backup bool) (Verdict, time.Duration) {
+// time there will be room. Late requests leave room to others.
+func (a *Allotter) Lend(now time.Time, name string, backup, late bool) (Verdict, time.Duration) {
 	if a.Mode(now) != InTouch || a.stale || a.retired {
 		return NotLender, 0
 	}
@@ -397,7 +397,7 @@
 	if b == nil {
 		return NotLender, 0
 	}
-	wait, ok := b.take(now, share)
+	wait, ok := b.take(now, share, late)
 	if !ok {
 		return Refused, wait
 	}
@@ -417,7 +417,7 @@
 		a.begun[name] = struct{}{}
 		return 0, true
 	}
-	wait, ok = b.take(now, a.ownShare(now, name))
+	wait, ok = b.take(now, a.ownShare(now, name), false)
 	if a.Mode(now) == InTouch {
 		// The lender will reply again or be replaced before this share has room.
 		wait = min(wait, lostWait)
--- a/internal/route/allotter/allotter_test.go
+++ b/internal/route/allotter/allotter_test.go
@@ -107,7 +107,7 @@
 		for {
 			verdict, wait := Granted, time.Duration(0)
 			if d.Cmd == "lend" {
-				verdict, wait = a.Lend(now, "x", d.HasArg("backup"))
+				verdict, wait = a.Lend(now, "x", d.HasArg("backup"), d.HasArg("late"))
 			} else if w, ok := a.Take(now, "x"); !ok {
 				verdict, wait = Refused, w
 			}
@@ -119,7 +119,7 @@
 		}
 		for range 3 {
 			if d.HasArg("again") {
-				_, wait := a.Lend(now, "x", false)
+				_, wait := a.Lend(now, "x", false, false)
 				fmt.Fprintf(&out, " %s", wait.Round(time.Millisecond))
 			}
 		}
--- a/internal/route/allotter/bucket.go
+++ b/internal/route/allotter/bucket.go
@@ -11,6 +11,10 @@
 	// promiseTime is the time within which refused callers are told to return one after
 	// the other. Callers do not wait for longer than that.
 	promiseTime = 3 * time.Second
+	// lateReserve is the part of the burst that late requests leave. An account that sends
+	// more than its limit all the time would otherwise spend half of it on callers that come
+	// back, whose answers are late, and send those away whose answers would not be.
+	lateReserve = 0.25
 	// lostWait is what callers are told where a host has no share at all: another one may
 	// have, or a new lender is found.
 	lostWait = time.Second
@@ -45,24 +49,29 @@
 	b.tokens = min(b.tokens+float64(count), s.Burst)
 }
 
-// take takes a token, or promises one after a time.
-func (b *bucket) take(now time.Time, s pacer.Share) (wait time.Duration, ok bool) {
+// take takes a token, or promises one after a time. For a late request it leaves lateReserve
+// of the burst to others.
+func (b *bucket) take(now time.Time, s pacer.Share, late bool) (wait time.Duration, ok bool) {
 	b.refill(now, s)
-	if b.tokens >= 1 {
+	need := 1.0
+	if late {
+		need += lateReserve * s.Burst
+	}
+	if b.tokens >= need {
 		b.tokens--
 		return 0, true
 	}
 	if s.Rate <= 0 || s.Burst < 1 {
 		return lostWait, false
 	}
-	return b.promise(now, s), false
+	return b.promise(now, s, need), false
 }
 
 // promise returns when a refused caller should return: each at the time of a token of its
 // own. An account far over its limit gets no promises beyond promiseTime, because callers
 // would not keep them and later ones would be told to wait in vain.
-func (b *bucket) promise(now time.Time, s pacer.Share) time.Duration {
-	wait := seconds((1 - b.tokens) / s.Rate)
+func (b *bucket) promise(now time.Time, s pacer.Share, need float64) time.Duration {
+	wait := seconds((need - b.tokens) / s.Rate)
 	if b.promisedAt.After(now) {
 		wait = max(wait, b.promisedAt.Sub(now)+seconds(1/s.Rate))
 		if wait > promiseTime {
--- a/internal/route/allotter/simulation_test.go
+++ b/internal/route/allotter/simulation_test.go
@@ -259,7 +259,7 @@
 	for _, step := range h.allotter.Steps(s.now, hotName) {
 		verdict, wait := NotLender, time.Duration(0)
 		if step.Here {
-			verdict, _ = h.allotter.Lend(s.now, hotName, step.Backup)
+			verdict, _ = h.allotter.Lend(s.now, hotName, step.Backup, false)
 		} else {
 			to := s.hostAt(step.Address)
 			h.allotter.Asking(s.now, step.Address)
@@ -269,7 +269,7 @@
 				if h.allotter.Mode(s.now) != InTouch {
 					to.allotter.Heard(s.now, h.address.Addr())
 				}
-				verdict, wait = to.allotter.Lend(s.now, hotName, step.Backup)
+				verdict, wait = to.allotter.Lend(s.now, hotName, step.Backup, false)
 			}
 			if !ok || s.now.Before(h.lossyUntil) && s.rand.IntN(2) == 0 {
 				h.allotter.Failed(s.now, step.Address)
--- a/internal/route/relayer/account.go
+++ b/internal/route/relayer/account.go
@@ -10,8 +10,10 @@
 // Allowances grants the requests of accounts that have a limit, summed over all hosts.
 type Allowances interface {
 	// Take takes one request from the allowance of an account. If there is no room, it
-	// reports false and after what time there will be.
-	Take(ctx context.Context, a *router.Account) (wait time.Duration, ok bool)
+	// reports false and after what time there will be. A request that is late, because its
+	// answer would come after the latency objective, gets room only if there is enough for
+	// those that are not.
+	Take(ctx context.Context, a *router.Account, late bool) (wait time.Duration, ok bool)
 	// Return gives back what Take took for a request that has not run and will not. It must
 	// not block.
 	Return(a *router.Account)
@@ -43,11 +45,17 @@
 
 // takeAllowance takes a request from the allowance of its account. The host that the client
 // connected to has done that for a request that was handed over.
-func (r *Relayer) takeAllowance(ctx context.Context, account *router.Account, request *Request) (time.Duration, bool) {
+func (r *Relayer) takeAllowance(ctx context.Context, account *router.Account, route *router.Route, request *Request) (time.Duration, bool) {
 	if !r.isLimited(account, request) {
 		return 0, true
 	}
-	return r.config.Allowances.Take(ctx, account)
+	return r.config.Allowances.Take(ctx, account, request.isLate(route))
+}
+
+// isLate reports whether the latency objective has passed since the client first sent the
+// request. Clients that come back after a refusal have less time left than the route allows.
+func (r *Request) isLate(route *router.Route) bool {
+	return !r.Deadline.IsZero() && route.Objective > 0 && route.Timeout-r.Deadline.Sub(r.Received) >= route.Objective
 }
 
 // returnAllowance gives back what takeAllowance took for a request that has not run.
--- a/internal/route/relayer/account_test.go
+++ b/internal/route/relayer/account_test.go
@@ -150,7 +150,7 @@
 // fakeAllowances grants requests while left is positive.
 type fakeAllowances struct{ left, taken, returned atomic.Int64 }
 
-func (f *fakeAllowances) Take(context.Context, *router.Account) (time.Duration, bool) {
+func (f *fakeAllowances) Take(context.Context, *router.Account, bool) (time.Duration, bool) {
 	f.taken.Add(1)
 	return 700 * time.Millisecond, f.left.Add(-1) >= 0
 }
@@ -190,3 +190,19 @@
 	require.Equal(t, Broken, env.getAs(t, "/x", h).Reason)
 	require.EqualValues(t, 1, f.returned.Load(), "a request that may have run counts")
 }
+
+// TestLateRequest guards against requests that are taken for late because their client set a
+// short or no time limit, and against overlooking one that has come back.
+func TestLateRequest(t *testing.T) {
+	route := singleRoute(router.Safe)
+	now := time.Now()
+	for left, late := range map[time.Duration]bool{
+		0: false, route.Timeout: false, 2 * route.Timeout: false, route.Timeout - route.Objective/2: false, route.Timeout - route.Objective: true, time.Millisecond: true,
+	} {
+		r := &Request{Received: now}
+		if left > 0 {
+			r.Deadline = now.Add(left)
+		}
+		require.Equal(t, late, r.isLate(&route), left)
+	}
+}
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -195,7 +195,7 @@
 	if !time.Now().Before(deadline) {
 		return r.Refuse(&request, Expired)
 	}
-	if wait, ok := r.takeAllowance(ctx, account, &request); !ok {
+	if wait, ok := r.takeAllowance(ctx, account, route, &request); !ok {
 		return r.refuseAllowance(&request, account, wait)
 	}
 	q := r.newQuery(routing.table, route, &request, deadline)
