--- a/internal/control/server/forward.go
+++ b/internal/control/server/forward.go
@@ -114,7 +114,7 @@
 }
 
 // Read returns the routing document in force; its version is 0 while there is
-// none. Errors are ErrNoLeader and packer.ErrDamaged.
+// none. The caller must not change the text. Errors are ErrNoLeader and packer.ErrDamaged.
 func (s *Server) Read(ctx context.Context) (version uint64, text []byte, err error) {
 	r := &messenger.ReadRequest{}
 	reply, _, err := callLeader(ctx, s,
@@ -127,7 +127,7 @@
 	if err != nil || reply.GetVersion() == 0 {
 		return 0, nil, err
 	}
-	text, err = packer.Unpack(reply.GetPacked(), messenger.MaxDocumentBytes)
+	text, err = s.document.unpack(reply.GetPacked())
 	return reply.GetVersion(), text, err
 }
 
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -41,6 +41,8 @@
 
 // Server runs one control host. It is created by New.
 type Server struct {
+	// document is the routing document that was read last.
+	document unpackedDocument
 	settings Settings
 	log      *log.Logger
 	// scope holds the metrics of the control host.
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -306,6 +306,23 @@
 	}
 }
 
+// TestUnreadAnswers guards against clients that ask for a long answer and never read it.
+func TestUnreadAnswers(t *testing.T) {
+	y := start(t)
+	o := &standin.Operator{ControlAddresses: y.ControlAddresses}
+	acked, failure := o.Publish(2, 6000, 10*time.Second)
+	require.True(t, acked, failure)
+	crowd(t, y.ControlAddresses[0], 150, func(int) []string {
+		return []string{head("GET", "h", "/v1/configuration", "") + "\r\n"}
+	})
+	require.Eventually(t, func() bool {
+		status, body := standin.Call(http.MethodGet, "http://"+y.ControlAddresses[0]+"/v1/configuration", nil, 2*time.Second)
+		return status == http.StatusOK && len(body) == len(standin.Document(2, 6000))
+	}, 10*time.Second, 100*time.Millisecond)
+	y.requireServed()
+	y.requireBounded(y.Members[0])
+}
+
 // The memory and the file descriptors of hosts whose settings do not name them.
 const (
 	defaultMemoryMiB = 256
