--- a/internal/route/allotter/simulation_test.go
+++ b/internal/route/allotter/simulation_test.go
@@ -264,6 +264,19 @@
 	}
 }
 
+// pulse runs for a time with the load of a hot account that pauses now and then, so that its
+// buckets fill.
+func (s *simulation) pulse(length time.Duration, rate float64) {
+	const period, idle = 8 * time.Second, 2 * time.Second
+	for end := s.now.Add(length); s.now.Before(end); {
+		load := 0.0
+		if s.clock()%period >= idle {
+			load = hotFactor * rate
+		}
+		s.run(s.length, load)
+	}
+}
+
 // maxInWindow returns the most requests that were granted in a window after a time.
 func (s *simulation) maxInWindow(after time.Time) (count int, at time.Time) {
 	first := 0
@@ -320,8 +333,13 @@
 		return
 	}
 	until := s.now.Add(f.length)
+	var g granters
+	for _, h := range s.hosts {
+		if known, ok := h.allotter.granters[hotName]; ok && known.lender.IsValid() {
+			g = known
+		}
+	}
 	for _, h := range s.hosts {
-		g := s.hosts[0].allotter.granters[hotName]
 		switch {
 		case f.group == "lender" && h.address != g.lender,
 			f.group == "backup" && h.address != g.backup,
@@ -358,15 +376,19 @@
 		s.run(6*time.Second, rate)
 		begin := s.now
 		lowerAt := time.Duration(rapid.IntRange(0, 60).Draw(t, "lower")) * time.Second
+		load := func(length time.Duration) { s.run(length, hotFactor*rate) }
+		if rapid.Bool().Draw(t, "pulses") {
+			load = func(length time.Duration) { s.pulse(length, rate) }
+		}
 		for _, f := range drawFaults(t, length) {
-			s.run(f.at-s.now.Sub(begin), hotFactor*rate)
+			load(f.at - s.now.Sub(begin))
 			s.strike(f)
 			if lowerAt < f.at && len(s.limits) == 1 {
 				s.limits = append(s.limits, Limit{Rate: rate / 2, Burst: rate / 4})
 				s.adoptedAt = time.Time{}
 			}
 		}
-		s.run(length-s.now.Sub(begin), hotFactor*rate)
+		load(length - s.now.Sub(begin))
 		n, at := s.maxInWindow(time.Time{})
 		worst = max(worst, float64(n)/allowed(limit))
 		if float64(n) > allowed(limit) {
@@ -382,6 +404,45 @@
 	t.Logf("worst window: %.3f of what is allowed", worst)
 }
 
+// TestCutOffFleet guards against hosts that use their own shares while the lenders grant the
+// whole limit as well. Random schedules seldom keep most hosts cut off for long enough.
+func TestCutOffFleet(t *testing.T) {
+	const most = "most"
+	schedules := map[string][]fault{
+		"cut off":                          {{at: time.Second, length: 20 * time.Second, kind: "cut", group: most, count: 3}},
+		"cut off briefly":                  {{at: time.Second, length: 8 * time.Second, kind: "cut", group: most, count: 4}},
+		"cut off before the leader ends":   {{at: time.Second, length: 25 * time.Second, kind: "cut", group: most, count: 3}, {at: 1200 * time.Millisecond, length: 2 * time.Second, kind: "leader"}},
+		"cut off for longer than a minute": {{at: time.Second, length: 70 * time.Second, kind: "cut", group: most, count: 3}},
+		"lender cut off with most hosts":   {{at: time.Second, length: 20 * time.Second, kind: "cut", group: most, count: 4}, {at: time.Second, length: 20 * time.Second, kind: "cut", group: "lender"}},
+	}
+	var restarts []fault
+	for n := range 20 {
+		restarts = append(restarts, fault{at: time.Duration(n+1) * time.Second, length: 200 * time.Millisecond, kind: "down", group: "lender"})
+	}
+	schedules["lender restarts again and again"] = restarts
+	for name, faults := range schedules {
+		for _, rate := range []float64{5, 28, 63} {
+			t.Run(fmt.Sprint(name, "/", rate), func(t *testing.T) {
+				// The load pauses at other times of the schedule.
+				for offset := time.Duration(0); offset < 8*time.Second; offset += time.Second {
+					limit := Limit{Rate: rate, Burst: rate}
+					s := newSimulation(4, 54, limit)
+					s.run(6*time.Second+offset, rate)
+					begin := s.now
+					for _, f := range faults {
+						s.pulse(f.at-s.now.Sub(begin), rate)
+						s.strike(f)
+					}
+					s.pulse(faults[0].length+10*time.Second, rate)
+					n, at := s.maxInWindow(time.Time{})
+					t.Logf("offset %s: %.3f of what is allowed", offset, float64(n)/allowed(limit))
+					require.LessOrEqual(t, float64(n), allowed(limit), "window before %s", at.Sub(begin))
+				}
+			})
+		}
+	}
+}
+
 // TestUse guards against an allowance that cannot be used up in calm.
 func TestUse(t *testing.T) {
 	for _, rate := range []float64{5, 28, 63} {
