lender: ask the backup beside a lender that is slow

Cause: TestAllowance failed in 1 of 2 runs beside a load of 20 on 7 cores: 1 of 19 requests of an account far within its limit was refused in calm. Two causes were possible: replies slower than 20 and 10 ms, and a leader elected late, so that the fixed wait of 6 s in the test ended before the hosts knew the lenders. Change: the backup is asked after 10 ms while the lender may still reply within 30 ms; of two grants one is given back. The test waits until requests beyond the hosts' own shares are granted, instead of for 6 s.

--- a/internal/host/lender/lender.go
+++ b/internal/host/lender/lender.go
@@ -25,10 +25,10 @@
 )
 
 const (
-	// askTime bounds the time in which lenders are asked for one request, and firstAskTime
-	// that for the lender of the account while its backup can be asked after it.
-	askTime      = 30 * time.Millisecond
-	firstAskTime = 20 * time.Millisecond
+	// askTime bounds the time in which lenders are asked for one request. The backup is asked
+	// as well once the lender has not replied for hedgeTime.
+	askTime   = 30 * time.Millisecond
+	hedgeTime = 10 * time.Millisecond
 	// giveTime bounds the time to return requests.
 	giveTime = 200 * time.Millisecond
 	// checkInterval is how often the contact with the control hosts and the connections to
@@ -199,22 +199,17 @@
 		l.config.Scope.Counter("refused").Inc(1)
 		return wait, false
 	}
-	for i, s := range steps {
-		limit := end
-		if i+1 < len(steps) {
-			limit = now.Add(firstAskTime)
-		}
-		verdict, w := l.try(ctx, s, a.Name, limit)
-		switch {
-		case verdict == allotter.Granted:
-			l.config.Scope.Counter("granted").Inc(1)
-			return 0, true
-		case verdict == allotter.Refused && !s.Backup:
-			l.config.Scope.Counter("refused").Inc(1)
-			return w, false
-		case verdict == allotter.Refused:
-			wait = w
-		}
+	if len(steps) == 0 {
+		return l.takeOwn(a.Name, 0)
+	}
+	verdict, wait := l.takeLent(ctx, steps, a.Name, end)
+	switch verdict {
+	case allotter.Granted:
+		l.config.Scope.Counter("granted").Inc(1)
+		return 0, true
+	case allotter.Refused:
+		l.config.Scope.Counter("refused").Inc(1)
+		return wait, false
 	}
 	return l.takeOwn(a.Name, wait)
 }
@@ -333,16 +328,22 @@
 	defer l.mu.Unlock()
 	l.allotter.Contact(now, contactAt)
 	steps := l.allotter.Steps(now, a.Name)
-	switch {
-	case len(steps) == 0:
+	if len(steps) == 0 {
 		l.allotter.RestoreOwn(now, a.Name)
-	case steps[0].Here:
-		l.allotter.Restore(now, a.Name, 1, steps[0].Backup)
+		return
+	}
+	l.giveTo(now, steps[0], a.Name)
+}
+
+// giveTo gives a request back. The caller holds the mutex.
+func (l *Lender) giveTo(now time.Time, s allotter.Step, account string) {
+	if s.Here {
+		l.allotter.Restore(now, account, 1, s.Backup)
+		return
+	}
+	l.gifts[gift{s.Address, account, s.Backup}]++
+	select {
+	case l.giving <- struct{}{}:
 	default:
-		l.gifts[gift{steps[0].Address, a.Name, steps[0].Backup}]++
-		select {
-		case l.giving <- struct{}{}:
-		default:
-		}
 	}
 }
--- a/internal/host/lender/lender_test.go
+++ b/internal/host/lender/lender_test.go
@@ -239,3 +239,54 @@
 		require.False(t, ok)
 	}
 }
+
+// TestSlowLender guards against accounts that are refused because their lender is out of
+// processor time, and against a request that is counted twice then.
+func TestSlowLender(t *testing.T) {
+	hosts := []*testHost{newTestHost(t, 60, true), newTestHost(t, 61, true), newTestHost(t, 62, true)}
+	lending := allotter.Lending{Known: true, Hosts: 3}
+	var callers []netip.Addr
+	for i, h := range hosts[:2] {
+		lending.Lenders = append(lending.Lenders, allotter.Lender{Address: h.address, Position: i})
+	}
+	callers = append(callers, hosts[2].address.Addr())
+	for i, h := range hosts {
+		h.lender.Update(newTable(t, 1), lending, callers, pacer.Position{Rank: i, Count: 3})
+	}
+	c := hosts[2].lender
+	steps, _, _ := c.steps(time.Now(), "one")
+	require.Len(t, steps, 2)
+	slow, backup := hosts[0], hosts[1]
+	if steps[0].Address == backup.address {
+		slow, backup = backup, slow
+	}
+	hosts[2].warm(t, slow.address)
+	hosts[2].warm(t, backup.address)
+	backup.lender.allotter.SetLimits(time.Now(), map[string]allotter.Limit{"one": {Rate: 50, Burst: 50}})
+	time.Sleep(700 * time.Millisecond)
+
+	slow.lender.mu.Lock()
+	start := time.Now()
+	_, ok := c.Take(t.Context(), account())
+	took := time.Since(start)
+	time.Sleep(5 * time.Millisecond)
+	slow.lender.mu.Unlock()
+	require.True(t, ok)
+	require.Less(t, took, askTime)
+	require.EqualValues(t, 2, hosts[2].count("asked"))
+	require.Zero(t, hosts[2].count("fallen_back"))
+
+	// The lender grants it as well, and gets it back.
+	require.Eventually(t, func() bool {
+		c.giveBack(t.Context())
+		slow.lender.mu.Lock()
+		defer slow.lender.mu.Unlock()
+		for range burst {
+			if v, _ := slow.lender.allotter.Lend(time.Now(), "one", false); v != allotter.Granted {
+				return false
+			}
+			defer slow.lender.allotter.Restore(time.Now(), "one", 1, false)
+		}
+		return true
+	}, time.Second, 5*time.Millisecond)
+}
--- a/test/soak/allowance_test.go
+++ b/test/soak/allowance_test.go
@@ -84,6 +84,25 @@
 	return most, len(times)
 }
 
+// waitLenders waits until the hosts know the lenders, which a leader names after four seconds,
+// and until the allowances are full. Without lenders, the hosts grant far fewer requests.
+func (f *processFleet) waitLenders(t *testing.T) {
+	const probes = 30
+	round := 0
+	require.Eventually(t, func() bool {
+		round++
+		time.Sleep(time.Second)
+		for n := range probes {
+			c := &standin.Client{Address: f.system.EntryAddresses[n%len(f.system.EntryAddresses)], ServiceOf: f.serviceOf, Key: hot.Keys[0]}
+			if !c.Fetch(fmt.Sprintf("probe-%d-%d", round, n), "x").Served {
+				return false
+			}
+		}
+		return true
+	}, readyLimit, 10*time.Millisecond)
+	time.Sleep(2 * time.Second)
+}
+
 // TestAllowance guards against an account that runs more than its limit over all hosts while
 // hosts end, stop and freeze, that cannot use its limit in calm, or whose excess makes others fail.
 func TestAllowance(t *testing.T) {
@@ -91,8 +110,7 @@
 	operator := standin.Operator{ControlAddresses: f.system.ControlAddresses}
 	acked, failure := operator.PublishText(2, standin.DocumentOf(2, 0, hot, calm), recoveryLimit)
 	require.True(t, acked, failure)
-	// Hosts learn of the lenders once the leader has led for four seconds.
-	time.Sleep(6 * time.Second)
+	f.waitLenders(t)
 
 	var group sync.WaitGroup
 	stop := make(chan struct{})
@@ -151,7 +169,7 @@
 	operator := standin.Operator{ControlAddresses: f.system.ControlAddresses}
 	acked, failure := operator.PublishText(2, standin.DocumentOf(2, 0, hot, calm), recoveryLimit)
 	require.True(t, acked, failure)
-	time.Sleep(6 * time.Second)
+	f.waitLenders(t)
 	var group sync.WaitGroup
 	stop := make(chan struct{})
 	var sent, refused atomic.Int64
