--- a/internal/host/lender/lender.go
+++ b/internal/host/lender/lender.go
@@ -64,6 +64,8 @@
 	conns  messenger.Conns
 	// giving wakes Run when there is something to give back.
 	giving chan struct{}
+	// askTime is askTime except in tests.
+	askTime time.Duration
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -99,7 +101,7 @@
 		c.Bounds = allotter.DefaultBounds
 	}
 	l := &Lender{
-		config: c, giving: make(chan struct{}, 1), allotter: allotter.New(c.Address, c.Bounds), callers: map[netip.Addr]struct{}{},
+		config: c, askTime: askTime, giving: make(chan struct{}, 1), allotter: allotter.New(c.Address, c.Bounds), callers: map[netip.Addr]struct{}{},
 		connected: map[netip.AddrPort]struct{}{}, gifts: map[gift]int{},
 	}
 	l.conns.DialOptions = []grpc.DialOption{
@@ -193,7 +195,7 @@
 // Take implements relayer.Allowances.
 func (l *Lender) Take(ctx context.Context, a *router.Account) (wait time.Duration, ok bool) {
 	now := time.Now()
-	end := now.Add(askTime)
+	end := now.Add(l.askTime)
 	steps, wait, quiet := l.steps(now, a.Name)
 	if quiet {
 		l.config.Scope.Counter("refused").Inc(1)
