--- a/internal/route/allotter/bucket.go
+++ b/internal/route/allotter/bucket.go
@@ -64,14 +64,18 @@
 	if s.Rate <= 0 || s.Burst < 1 {
 		return lostWait, false
 	}
-	return b.promise(now, s, need), false
+	if late {
+		// Others may use the room before, so it is promised to nobody.
+		return seconds((need - b.tokens) / s.Rate), false
+	}
+	return b.promise(now, s), false
 }
 
 // promise returns when a refused caller should return: each at the time of a token of its
 // own. An account far over its limit gets no promises beyond promiseTime, because callers
 // would not keep them and later ones would be told to wait in vain.
-func (b *bucket) promise(now time.Time, s pacer.Share, need float64) time.Duration {
-	wait := seconds((need - b.tokens) / s.Rate)
+func (b *bucket) promise(now time.Time, s pacer.Share) time.Duration {
+	wait := seconds((1 - b.tokens) / s.Rate)
 	if b.promisedAt.After(now) {
 		wait = max(wait, b.promisedAt.Sub(now)+seconds(1/s.Rate))
 		if wait > promiseTime {
