selector: no expected times while a server of the service fails requests

Change: the former ranking, which is computed anyway, decides while any candidate has failed more than 2% of its recent requests.

--- a/internal/search/selector/selector.go
+++ b/internal/search/selector/selector.go
@@ -25,6 +25,9 @@
 	// maxSameZoneTimeRatio is the same for expected times, which depend on what the request
 	// costs and vary less than latencies do.
 	maxSameZoneTimeRatio = 1.5
+	// maxFailureShare is the share of failures of a server above which the servers of its
+	// service are not chosen by expected times.
+	maxFailureShare = 0.02
 	// scoreJitter is the largest share by which a score is raised at random. It
 	// spreads the choices of many hosts over servers that look alike.
 	scoreJitter = 0.1
@@ -154,11 +157,13 @@
 	// withoutTimes is the ranking as it would be without ExpectedTime.
 	ranked, withoutTimes := ranking{maxRatio: maxSameZoneTimeRatio}, ranking{maxRatio: maxSameZoneRatio}
 	overallLatency := s.overallLatency.value(now, priorLatency)
+	failing := false
 	for _, name := range candidates {
 		t := s.servers[name]
 		if t == nil || t.removed || t.info.Draining || slices.Contains(exclude, name) {
 			continue
 		}
+		failing = failing || t.currentFailureShare(now) > maxFailureShare
 		c := candidate{state: t, class: t.drawClass(now, r)}
 		extra, jitter := s.extraLatency(name), 1+scoreJitter*r.Float64()
 		if c.class > worstClass {
@@ -178,6 +183,10 @@
 	if s.ExpectedTime == nil {
 		return withoutTimes.first()
 	}
+	if failing {
+		// Requests that fail early end the work of a server without telling what it costs.
+		ranked = withoutTimes
+	}
 	name, ok := ranked.first()
 	if other, _ := withoutTimes.first(); other != name {
 		s.changed++
