--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -276,9 +276,9 @@
 	f.watcher.SetSeeds(s.Seeds)
 }
 
-// applyUpdate decodes the routing document if its version is new, and passes the routing
-// table, the registry of backend servers and the place of this host among the entry hosts
-// and the evacuations to the relayer, and its peers to the delegator. The watcher makes one call at a time.
+// applyUpdate decodes the routing document if its version is new, and passes what the
+// relayer, the lender and the delegator need of the update. The watcher makes one call at a
+// time.
 func (f *Forwarder) applyUpdate(w subscriber.RoutingState) {
 	if w.Version > 0 && (f.table == nil || f.table.Version != w.Version) {
 		table, err := f.adapter.DecodeDocument(w.Document)
--- a/internal/route/allotter/share.go
+++ b/internal/route/allotter/share.go
@@ -14,9 +14,9 @@
 	// startTokens each, and requests that run later than they were granted.
 	changeReserve = 10
 	// maxLenderExtra is the number of requests by which the lender's burst exceeds that of
-	// the account, at most lenderExtraShare of what the bound allows beyond the limit. With
-	// a burst of 5, an account with Poisson arrivals at 0.6 of its limit was refused 3 of
-	// 1,000 requests without it.
+	// the account, at most lenderExtraShare of what the bound allows beyond the limit. An
+	// account with Poisson arrivals at 0.6 of its limit and a burst of 5 would otherwise be
+	// refused 3 of 1,000 requests.
 	maxLenderExtra   = 4
 	lenderExtraShare = 0.3
 	// backupExtraShare is the part of the rest that the backup gets. The hosts' own shares
--- a/internal/route/relayer/admit.go
+++ b/internal/route/relayer/admit.go
@@ -86,7 +86,8 @@
 	return targets, Answer{}
 }
 
-// availabilityOf tells whether a service has an allowed server that can get a request now. The caller holds the lock.
+// availabilityOf tells whether a service has an allowed server that can get a request now. The
+// caller holds the lock.
 func (r *Relayer) availabilityOf(now time.Time, routing *routingState, service string, allowed func(*server) bool) availability {
 	m := routing.services[service]
 	result := unknown
--- a/internal/route/relayer/cold.go
+++ b/internal/route/relayer/cold.go
@@ -52,9 +52,9 @@
 }
 
 // learnCold records what a record of the registry, as it came at now, says about the cold
-// time of a server, and limits a cold one. shards holds the services that are shards. first is true for the first registry that this
-// host has: its records may be old, and the incarnation, the server's start in milliseconds,
-// tells how old. The caller holds the lock.
+// time of a server, and limits a cold one. shards holds the services that are shards. first is
+// true for the first registry that this host has: its records may be old, and the incarnation,
+// the server's start in milliseconds, tells how old. The caller holds the lock.
 func (r *Relayer) learnCold(now time.Time, table *router.Table, shards map[string]bool, s registrar.Server, first bool) {
 	state, known := r.coldStates[s.Name]
 	if !known || state.incarnation != s.Incarnation {
--- a/internal/route/relayer/crash.go
+++ b/internal/route/relayer/crash.go
@@ -34,8 +34,8 @@
 
 // hasEnded reports whether a server whose connection broke with err has ended: it closed
 // the connection without having announced that it stops, and its address now refuses
-// others. Those of an evacuated zone may be stopped at any time, and are not probed. A server that only reset the connection accepts others; one that is cut off
-// does not answer.
+// others. A server that only reset the connection accepts others; one that is cut off does
+// not answer. Those of an evacuated zone may be stopped at any time, and are not probed.
 func (r *Relayer) hasEnded(s *server, err error) bool {
 	closed := func(target error) bool { return errors.Is(err, target) }
 	if !slices.ContainsFunc([]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}, closed) {
