relayer: TestRegionOfHedge waits until its sends have settled

No send began after the move. Change: the test counts the requests once no more arrive, and checks that one still waits.

--- a/internal/route/relayer/region_test.go
+++ b/internal/route/relayer/region_test.go
@@ -75,7 +75,16 @@
 		group.Go(func() { env.get(t, "/x") })
 	}
 	<-env.received
+	// The limit does not end a connection that is open already, which may take a second request.
+	for sending := true; sending; {
+		select {
+		case <-env.received:
+		case <-time.After(200 * time.Millisecond):
+			sending = false
+		}
+	}
 	before := env.servers["a"].requests.Load()
+	require.Less(t, before, int64(4), "no request waits")
 	env.moveTo("s2", "a")
 	time.Sleep(20 * time.Millisecond)
 	close(env.release)
