Pass on no unconfirmed promise that a request has not run

What callers saw: a server's 503, 429 or 408, with its signature, to an order that the server had run.

Cause: isAnswer and failureAnswer passed on any status of a server, and nothing asked what the status promises. Only the server's statement or a misdirected request prove that a request has not run.

Evidence: TestOutcomes plays each class of status, stated or not, with Retry-After, cut short and unsigned, as the last try and after one whose outcome is unknown, on each kind of route.

Why the fix works: the adapter says which statuses promise, and an answer that promises without a statement is no answer. A safe request is tried elsewhere within its budget, any other ends with 502, which promises nothing. An answer from a host of an earlier version is checked where it arrives; such hosts read the new reason as 502.

--- a/internal/route/relayer/answer.go
+++ b/internal/route/relayer/answer.go
@@ -54,6 +54,9 @@
 	// Broken means that servers or their connections failed after the request had been
 	// sent. It may have run.
 	Broken // broken
+	// Unconfirmed means that a server answered with a status that promises that the request
+	// has not run, without stating it. The request may have run.
+	Unconfirmed // unconfirmed
 	// TimedOut means that no answer came in time. The request may have run.
 	TimedOut // timed out
 	// ClientLeft means that the client disconnected before the answer.
--- a/internal/route/relayer/attempt.go
+++ b/internal/route/relayer/attempt.go
@@ -109,6 +109,17 @@
 	return caller.Answered
 }
 
+// isUnconfirmed reports whether the server's status promises that the request has not run,
+// while the server does not state it. Such an answer is not passed on, because the promise
+// may be false. What it tells of the server is recorded all the same.
+func (r sendResult) isUnconfirmed() bool {
+	switch r.status {
+	case caller.Answered, caller.Failed:
+		return r.metadata.PromisesNotRun
+	}
+	return false
+}
+
 // recordResult updates the selector, the hedger of the route and the throttle of the
 // service with the outcome of a send.
 func (r *Relayer) recordResult(q *query, res sendResult) {
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -99,7 +99,7 @@
 	switch {
 	case err == nil:
 		q.delegated = true
-		return a, true
+		return q.confirmDelegated(a), true
 	case errors.Is(err, ErrNotTaken):
 		return Answer{}, false
 	case errors.Is(context.Cause(ctx), context.Canceled):
@@ -109,3 +109,14 @@
 	}
 	return Answer{Reason: Broken}, true
 }
+
+// confirmDelegated returns the answer of another host, unless it is that of a server whose
+// status promises that the request has not run. Only hosts of earlier versions pass such an
+// answer on.
+func (q *query) confirmDelegated(a Answer) Answer {
+	if a.Reason == Served && q.relayer.config.Codec.Decode(a.Status, a.Header).PromisesNotRun {
+		a.Release()
+		return Answer{Reason: Unconfirmed}
+	}
+	return a
+}
--- a/internal/route/relayer/final_answer.go
+++ b/internal/route/relayer/final_answer.go
@@ -40,13 +40,16 @@
 		ran = ran || s.attempts > 0
 		tried = tried || len(s.triedServers) > 0
 	}
-	if !q.route.Fanout() && q.shards[0].failedResponse != nil {
-		res := q.shards[0].failedResponse
+	first := &q.shards[0]
+	if !q.route.Fanout() && first.failedResponse != nil {
+		res := first.failedResponse
 		return Answer{Status: res.Status, Header: res.Header, Body: res.Body}
 	}
 	switch {
 	case ran && (q.stopped || ctx.Err() != nil || !time.Now().Before(q.deadline)):
 		return Answer{Reason: TimedOut}
+	case ran && !q.route.Fanout() && first.unconfirmed:
+		return Answer{Reason: Unconfirmed}
 	case ran:
 		return Answer{Reason: Broken}
 	case tried:
--- a/internal/route/relayer/query.go
+++ b/internal/route/relayer/query.go
@@ -150,8 +150,12 @@
 	hedgeRetryAt time.Time
 	// part is the answer of the shard, nil until it has arrived.
 	part *sendResult
-	// failedResponse is the last answer with a status of 500 or above.
+	// failedResponse is the last answer with a status of 500 or above that may be passed
+	// on.
 	failedResponse *connector.Response
+	// unconfirmed is set once a server has answered with a status that promises, without a
+	// statement of the server, that the request has not run.
+	unconfirmed bool
 	// noMoreSends is set when no further send is allowed or possible.
 	noMoreSends bool
 	// held is set while the shard waits for the outcome of a trial, to make a send for
@@ -369,6 +373,7 @@
 	if s.part != nil {
 		return
 	}
+	s.unconfirmed = s.unconfirmed || res.isUnconfirmed()
 	switch res.status {
 	case caller.Answered:
 		if !q.isAnswer(res) {
@@ -386,7 +391,7 @@
 		s.attempts--
 		q.resend(ctx, res, rerouteSend)
 	default:
-		if res.status == caller.Failed {
+		if res.status == caller.Failed && !res.metadata.PromisesNotRun {
 			s.failedResponse = res.response
 		}
 		q.handleFailure(ctx, res)
@@ -425,8 +430,11 @@
 }
 
 // isAnswer reports whether a response can be the answer to the client or a part of it. A
-// success has to be signed, and a part has to be a success.
+// success has to be signed, a part has to be a success, and a promise has to be confirmed.
 func (q *query) isAnswer(res sendResult) bool {
+	if res.isUnconfirmed() {
+		return false
+	}
 	success := res.response.Status >= 200 && res.response.Status < 300
 	return success && res.metadata.Stamp != "" || !success && !q.route.Fanout()
 }
--- a/internal/route/relayer/reason_string.go
+++ b/internal/route/relayer/reason_string.go
@@ -25,13 +25,14 @@
 	_ = x[NoMemory-14]
 	_ = x[Expired-15]
 	_ = x[Broken-16]
-	_ = x[TimedOut-17]
-	_ = x[ClientLeft-18]
+	_ = x[Unconfirmed-17]
+	_ = x[TimedOut-18]
+	_ = x[ClientLeft-19]
 }
 
-const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedunauthorizedover allowanceno memoryexpiredbrokentimed outclient left"
+const _Reason_name = "servednot readyno routeheader too longbody too longunreadablebody timed outno servershedoverloadrate limitedquarantinedunauthorizedover allowanceno memoryexpiredbrokenunconfirmedtimed outclient left"
 
-var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 131, 145, 154, 161, 167, 176, 187}
+var _Reason_index = [...]uint8{0, 6, 15, 23, 38, 51, 61, 75, 84, 88, 96, 108, 119, 131, 145, 154, 161, 167, 178, 187, 198}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/internal/route/relayer/relayer.go
+++ b/internal/route/relayer/relayer.go
@@ -98,6 +98,9 @@
 	// Misdirected means that the address now belongs to a server other than the
 	// intended one.
 	Misdirected bool
+	// PromisesNotRun means that clients take the status for a promise that the request has
+	// not run and will not. The server may not have meant that; see Refused.
+	PromisesNotRun bool
 	// Load is the load that the server reported, if any.
 	Load Load
 	// Limit is the rate limit that the server named, if any.
--- a/internal/route/relayer/relayer_test.go
+++ b/internal/route/relayer/relayer_test.go
@@ -51,6 +51,7 @@
 
 func (c testCodec) Decode(status int, h http.Header) AnswerMetadata {
 	m := AnswerMetadata{RequestID: c.RequestID(h), Stamp: h.Get("Stamp"), Refused: h.Get("Refused") != "", Misdirected: status == http.StatusMisdirectedRequest}
+	m.PromisesNotRun = status == 408 || status == 421 || status == 429 || status == 503
 	m.Limit.Named = h.Get("Limit") != ""
 	m.Limit.Rate, _ = strconv.ParseFloat(h.Get("Limit"), 64)
 	m.Leaving = h.Get("Leaving") != ""
