--- a/test/soak/builds_test.go
+++ b/test/soak/builds_test.go
@@ -26,15 +26,19 @@
 	mixedServed = 0.95
 )
 
-// buildLanded builds the program of the last landing, which testdata/landed names, from the
-// history of the repository.
+// buildLanded builds the program of the last landing, which testdata/landed names.
 func buildLanded(t *testing.T, root string) string {
 	commit, err := os.ReadFile("testdata/landed")
 	require.NoError(t, err)
+	return buildCommit(t, root, strings.TrimSpace(string(commit)))
+}
+
+// buildCommit builds the program of a commit from the history of the repository.
+func buildCommit(t *testing.T, root, commit string) string {
 	sources := filepath.Join(root, "landed")
 	require.NoError(t, os.MkdirAll(sources, 0o700))
 	script := `git -C ../.. archive "$0" cmd internal platform test go.mod go.sum | tar -x -C "$1" && cd "$1" && go build -buildvcs=false -o gentianpond ./cmd/gentianpond`
-	out, err := exec.Command("sh", "-c", script, strings.TrimSpace(string(commit)), sources).CombinedOutput()
+	out, err := exec.Command("sh", "-c", script, commit, sources).CombinedOutput()
 	require.NoError(t, err, "%s", out)
 	return filepath.Join(sources, "gentianpond")
 }
--- a/test/soak/evacuation_test.go
+++ b/test/soak/evacuation_test.go
@@ -55,11 +55,14 @@
 	require.Greater(t, s.served.Load(), served)
 }
 
+// beforeEvacuations is the last landing whose members do not know evacuations.
+const beforeEvacuations = "49a1f82"
+
 // TestOldMemberIgnoresEvacuation guards against an order that ends the members of the last
 // landing, or that keeps them from following the log.
 func TestOldMemberIgnoresEvacuation(t *testing.T) {
 	binary, root := build(t)
-	landed := buildLanded(t, root)
+	landed := buildCommit(t, root, beforeEvacuations)
 	s, err := startSoak(binary, seedFolder(root, 93), 93)
 	require.NoError(t, err)
 	defer s.close()
