Store a first routing document of version 0

What callers saw: 200 for a first document of version 0.

Why the fix works: whether there is a document is stated in state and messages, and no longer read from the version. Other content under version 0 changes nothing, as under any version that is stored.

It is stored only while all members name a format that holds it, and refused with 503 until then; a leader of an earlier build that acknowledges it is not believed. Relays of earlier builds get no document and refuse requests as before. A leader proposes the document again when it is elected and when a member of an earlier build has been replaced.

--- a/internal/control/keeper/evacuation.go
+++ b/internal/control/keeper/evacuation.go
@@ -65,7 +65,7 @@
 // applyPublish applies a command that holds a routing document, or an order about an
 // availability zone in place of one.
 func (k *Keeper) applyPublish(p *messenger.PublishRequest) Result {
-	if p.GetVersion() > 0 {
+	if p.GetVersion() > 0 || p.GetZone() == "" && len(p.GetPacked()) > 0 {
 		return Result{RoutingVersion: k.routing.replaceIfNewer(p)}
 	}
 	changed := k.evacuations.apply(k.appliedIndex, k.latestTime, p.GetZone(), p.GetWithdrawn())
--- a/internal/control/keeper/routing.go
+++ b/internal/control/keeper/routing.go
@@ -9,27 +9,33 @@
 // it. The operator chooses the versions; only a document with a higher version
 // replaces the current one.
 type routingDocument struct {
-	// version is 0 while there is no document.
+	// published is true once there is a document.
+	published bool
+	// version is the operator's, which may be 0.
 	version uint64
 	// packed is the compressed text.
 	packed []byte
 }
 
-// replaceIfNewer replaces the document by the one of the request if its version is
-// higher, and returns the version then in force.
+// replaceIfNewer replaces the document by the one of the request if there is none or its
+// version is higher, and returns the version then in force.
 func (r *routingDocument) replaceIfNewer(p *messenger.PublishRequest) uint64 {
-	if p.GetVersion() > r.version {
-		r.version = p.GetVersion()
-		r.packed = p.GetPacked()
+	if !r.published || p.GetVersion() > r.version {
+		*r = routingDocument{published: true, version: p.GetVersion(), packed: p.GetPacked()}
 	}
 	return r.version
 }
 
-// RoutingDocument returns the version and the compressed text of the routing
-// document in force. The version is 0 while there is none. The text must not be
-// modified.
-func (k *Keeper) RoutingDocument() (version uint64, packed []byte) {
-	return k.routing.version, k.routing.packed
+// RoutingDocument returns the version and the compressed text of the routing document in
+// force, and false if there is none. The text must not be modified.
+func (k *Keeper) RoutingDocument() (version uint64, packed []byte, ok bool) {
+	return k.routing.version, k.routing.packed, k.routing.published
+}
+
+// SupersedesRouting reports whether a routing document of a version would replace the one in
+// force.
+func (k *Keeper) SupersedesRouting(version uint64) bool {
+	return !k.routing.published || version > k.routing.version
 }
 
 // Registry returns the registry of backend servers, which must not be modified.
@@ -52,7 +58,7 @@
 // copyRoutingAndRegistryTo copies the routing document and the registry to the state
 // that a snapshot holds.
 func (k *Keeper) copyRoutingAndRegistryTo(state *messenger.KeeperState) {
-	if k.routing.version > 0 {
+	if k.routing.published {
 		state.Routing = &messenger.PublishRequest{Version: k.routing.version, Packed: k.routing.packed}
 	}
 	for _, s := range k.registry.Records() {
@@ -65,7 +71,7 @@
 // those in the state of a snapshot. Like applyRegistrations it skips invalid ones, which
 // another version may have stored, so that they do not keep the host from starting.
 func (k *Keeper) restoreRoutingAndRegistryFrom(state *messenger.KeeperState) {
-	k.routing = routingDocument{version: state.GetRouting().GetVersion(), packed: state.GetRouting().GetPacked()}
+	k.routing = routingDocument{published: state.Routing != nil, version: state.GetRouting().GetVersion(), packed: state.GetRouting().GetPacked()}
 	var list []registrar.Server
 	for _, m := range state.Registrations {
 		s, err := registrar.FromMessage(m)
--- a/internal/control/server/forward.go
+++ b/internal/control/server/forward.go
@@ -32,6 +32,11 @@
 	ErrNoLeader = errors.New("no control leader confirmed the request")
 	// ErrInvalidRequest means that the request is invalid and changed nothing.
 	ErrInvalidRequest = errors.New("invalid request")
+	// ErrNotStored means that control hosts of an earlier version cannot store the request. It
+	// changed nothing.
+	ErrNotStored = errors.New("not stored")
+	// ErrNoDocument means that no routing document has been published.
+	ErrNoDocument = errors.New("no routing document has been published")
 )
 
 // leaderReply is a reply that names the leader unless the request was granted.
@@ -60,8 +65,11 @@
 				return reply, leader, nil
 			}
 		}
-		if status.Code(err) == codes.InvalidArgument {
+		switch status.Code(err) {
+		case codes.InvalidArgument:
 			return zero, "", errors.Wrap(ErrInvalidRequest, err.Error())
+		case codes.FailedPrecondition:
+			return zero, "", errors.Wrap(ErrNotStored, err.Error())
 		}
 		if err != nil {
 			lastErr = err
@@ -95,8 +103,8 @@
 	return reply, err
 }
 
-// Publish stores a routing document and returns the version in force. Errors
-// are ErrNoLeader and ErrInvalidRequest.
+// Publish stores a routing document and returns the version in force. Errors are
+// ErrNoLeader, ErrInvalidRequest and ErrNotStored.
 func (s *Server) Publish(ctx context.Context, version uint64, text []byte) (uint64, error) {
 	packed, err := s.pack(text)
 	if err != nil {
@@ -110,6 +118,10 @@
 		func(ctx context.Context, c messenger.ControlClient) (*messenger.PublishReply, error) {
 			return c.Publish(ctx, r)
 		})
+	if err == nil && version == 0 && reply.GetVersion() == 0 && !reply.GetDocument() {
+		// A leader of an earlier version acknowledges version 0 and does not store it.
+		return 0, errors.Wrap(ErrNotStored, "the leader runs an earlier version")
+	}
 	return reply.GetVersion(), err
 }
 
@@ -121,8 +133,8 @@
 	return packer.Pack(text)
 }
 
-// Read returns the routing document in force; its version is 0 while there is
-// none. The caller must not change the text. Errors are ErrNoLeader and packer.ErrDamaged.
+// Read returns the routing document in force. The caller must not change the text. Errors are
+// ErrNoLeader, ErrNoDocument and packer.ErrDamaged.
 func (s *Server) Read(ctx context.Context) (version uint64, text []byte, err error) {
 	r := &messenger.ReadRequest{}
 	reply, _, err := callLeader(ctx, s,
@@ -132,9 +144,12 @@
 		func(ctx context.Context, c messenger.ControlClient) (*messenger.ReadReply, error) {
 			return c.Read(ctx, r)
 		})
-	if err != nil || reply.GetVersion() == 0 {
+	if err != nil {
 		return 0, nil, err
 	}
+	if !reply.GetDocument() && reply.GetVersion() == 0 {
+		return 0, nil, ErrNoDocument
+	}
 	text, err = s.document.unpack(reply.GetPacked())
 	return reply.GetVersion(), text, err
 }
--- a/internal/control/server/loop.go
+++ b/internal/control/server/loop.go
@@ -90,6 +90,11 @@
 	entryHosts *entryTracker
 	// hellos holds who sent the latest Exchange request under each control host's name.
 	hellos hellos
+	// formats holds the formats of the replicated state that the control hosts store.
+	formats formats
+	// zeroRepeated is set while nothing suggests that a member lacks a routing document of
+	// version 0 that is in force.
+	zeroRepeated bool
 	// reportedHosts holds the addresses of control hosts that another host reported.
 	reportedHosts []netip.AddrPort
 	// departureAllowed is set once the leader has allowed this host to end.
@@ -164,6 +169,7 @@
 		limits:        newLimitTracker(),
 		suspects:      newSuspectTracker(),
 		hellos:        hellos{},
+		formats:       formats{},
 		lastSnapshot:  snapshotProgress{index: snapshot.Index, snapshotBytes: len(snapshot.Data)},
 	}
 	if snapshot.Index > 0 {
@@ -521,6 +527,7 @@
 		l.limits = newLimitTracker()
 		l.suspects = newSuspectTracker()
 		l.repairReason = ""
+		l.zeroRepeated = false
 	}
 	l.logRoleChange(last, s)
 }
--- a/internal/control/server/periodic.go
+++ b/internal/control/server/periodic.go
@@ -28,6 +28,7 @@
 	l.nextMaintenance = now + maintenanceInterval
 	l.maintainView(now)
 	l.maintainMembership(now)
+	l.repeatVersionZero()
 	l.markSilentServers(now)
 }
 
--- a/internal/control/server/routing.go
+++ b/internal/control/server/routing.go
@@ -16,17 +16,24 @@
 		done(&messenger.PublishReply{Leader: l.leaderAddress()}, nil)
 		return
 	}
-	if version, _ := l.keeper.RoutingDocument(); r.GetVersion() <= version {
+	if !l.keeper.SupersedesRouting(r.GetVersion()) {
 		l.confirmLeadership(func(confirmed bool) {
 			if !confirmed {
 				done(&messenger.PublishReply{Leader: l.leaderAddress()}, nil)
 				return
 			}
-			version, _ := l.keeper.RoutingDocument()
-			done(&messenger.PublishReply{Granted: true, Version: version}, nil)
+			version, _, ok := l.keeper.RoutingDocument()
+			done(&messenger.PublishReply{Granted: true, Version: version, Document: ok}, nil)
 		})
 		return
 	}
+	if r.GetVersion() == 0 {
+		if err := l.formats.check(l.status); err != nil {
+			l.log.Warn("routing document of version 0 not stored", "err", err)
+			done(nil, err)
+			return
+		}
+	}
 	l.propose(&messenger.Command{Action: &messenger.Command_Publish{Publish: r}}, func(result keeper.Result, err error) {
 		switch {
 		case errors.Is(err, replicator.ErrNotLeader):
@@ -35,7 +42,7 @@
 			done(nil, proposalStatus(err))
 		default:
 			l.log.Info("routing document in force", "version", result.RoutingVersion, "sent", r.GetVersion(), "packed", len(r.GetPacked()))
-			done(&messenger.PublishReply{Granted: true, Version: result.RoutingVersion}, nil)
+			done(&messenger.PublishReply{Granted: true, Version: result.RoutingVersion, Document: true}, nil)
 		}
 	})
 }
@@ -48,7 +55,7 @@
 			done(&messenger.ReadReply{Leader: l.leaderAddress()}, nil)
 			return
 		}
-		version, packed := l.keeper.RoutingDocument()
-		done(&messenger.ReadReply{Granted: true, Version: version, Packed: packed}, nil)
+		version, packed, ok := l.keeper.RoutingDocument()
+		done(&messenger.ReadReply{Granted: true, Version: version, Packed: packed, Document: ok}, nil)
 	})
 }
--- a/internal/control/server/sender.go
+++ b/internal/control/server/sender.go
@@ -160,6 +160,7 @@
 		Address:         s.address,
 		Zone:            s.zone,
 		Leaving:         s.leaving.Load(),
+		Format:          stateFormat,
 	}
 	return r, addMessage(r, m.message)
 }
--- a/internal/control/server/service.go
+++ b/internal/control/server/service.go
@@ -141,6 +141,7 @@
 // host's id to the core. It counts the others as refused.
 func (l *loop) handleExchange(r *messenger.ExchangeRequest) {
 	l.recordHello(r)
+	l.recordFormat(r)
 	for _, w := range r.GetMessages() {
 		if r.GetToIncarnation() != l.status.ID {
 			l.scope.Counter("messages_refused").Inc(1)
--- a/internal/control/server/watch.go
+++ b/internal/control/server/watch.go
@@ -73,7 +73,7 @@
 			kept = append(kept, w)
 		case w.request.GetSeek() || !leads:
 			w.done(&messenger.WatchReply{Granted: leads, Leader: leader, Control: memberAddresses(l.status)}, nil)
-		case (l.hasNews(w.request) || now >= w.holdUntil) && w.request.GetVersion() == 0 && w.request.GetRegistry() == 0:
+		case (l.hasNews(w.request) || now >= w.holdUntil) && hasNoState(w.request):
 			l.answerConfirmed(w)
 		case l.hasNews(w.request) || now >= w.holdUntil:
 			w.done(l.watchReply(now, w.request), nil)
@@ -85,6 +85,18 @@
 	l.heldWatches = kept
 }
 
+// hasNoState reports whether the entry host has received nothing yet.
+func hasNoState(r *messenger.WatchRequest) bool {
+	return r.GetVersion() == 0 && r.GetHolding() != messenger.Holding_HOLDING_DOCUMENT && r.GetRegistry() == 0
+}
+
+// lacksDocument reports whether the routing document in force is newer than what the entry
+// host has. A host of an earlier version takes no document of version 0.
+func (l *loop) lacksDocument(r *messenger.WatchRequest) bool {
+	version, _, ok := l.keeper.RoutingDocument()
+	return ok && (r.GetVersion() < version || r.GetHolding() == messenger.Holding_HOLDING_NONE)
+}
+
 // answerConfirmed replies to a held request once this host is known to lead still.
 func (l *loop) answerConfirmed(w heldWatch) {
 	l.confirmLeadership(func(confirmed bool) {
@@ -100,8 +112,7 @@
 // on routes or the evacuations are newer than what the entry host has. The last two are
 // news only for hosts that follow them.
 func (l *loop) hasNews(r *messenger.WatchRequest) bool {
-	version, _ := l.keeper.RoutingDocument()
-	return r.GetVersion() < version || r.GetRegistry() < l.keeper.Registry().LastChange() ||
+	return l.lacksDocument(r) || r.GetRegistry() < l.keeper.Registry().LastChange() ||
 		r.GetGuards() && r.GetSuspects() < l.suspects.lastChange || l.watchingHosts.lenders.isNews(r) ||
 		r.GetEvacuates() && r.GetEvacuation() < l.keeper.EvacuationNumber()
 }
@@ -109,7 +120,7 @@
 // watchReply returns the current versions with the routing document and the
 // registrations that the entry host lacks.
 func (l *loop) watchReply(now time.Duration, r *messenger.WatchRequest) *messenger.WatchReply {
-	version, packed := l.keeper.RoutingDocument()
+	version, packed, _ := l.keeper.RoutingDocument()
 	reply := &messenger.WatchReply{
 		Granted:  true,
 		Version:  version,
@@ -129,7 +140,7 @@
 		reply.Suspect, reply.Whole = l.suspects.changesSince(time.Now(), r.GetSuspects())
 	}
 	l.addEvacuations(reply, r)
-	if r.GetVersion() < version {
+	if l.lacksDocument(r) {
 		reply.Packed = packed
 	}
 	if r.GetRegistry() < reply.Registry {
--- a/internal/control/subscriber/watch.go
+++ b/internal/control/subscriber/watch.go
@@ -62,10 +62,9 @@
 // RoutingState is the routing document and the registry of backend servers as an
 // entry host has received them. It must not be modified.
 type RoutingState struct {
-	// Version of the routing document, 0 while there is none. It never goes
-	// back.
+	// Version of the routing document. It never goes back.
 	Version uint64
-	// Document is the routing document, decompressed.
+	// Document is the routing document, decompressed, and nil while there is none.
 	Document []byte
 	// Servers are the registered backend servers, sorted by name, without those in
 	// state registrar.Gone.
@@ -231,6 +230,10 @@
 func (w *Watcher) watchLeader(ctx context.Context, hold, timeout time.Duration) {
 	s := w.State()
 	request := w.newWatchRequest(s.Version, s.registryIndex, hold)
+	request.Holding = messenger.Holding_HOLDING_NONE
+	if s.Document != nil {
+		request.Holding = messenger.Holding_HOLDING_DOCUMENT
+	}
 	w.addLimits(request)
 	request.Evacuates, request.Evacuation = true, s.evacuation
 	request.Guards, request.Suspects = w.config.Suspects != nil, w.suspects
@@ -375,7 +378,7 @@
 	next := old
 	next.LastReply = now
 	changed := false
-	if reply.GetVersion() > old.Version && len(reply.GetPacked()) > 0 {
+	if len(reply.GetPacked()) > 0 && (old.Document == nil || reply.GetVersion() > old.Version) {
 		text, err := packer.Unpack(reply.GetPacked(), messenger.MaxDocumentBytes)
 		if err != nil {
 			w.config.Log.Error("could not decompress the routing document", "version", reply.GetVersion(), "err", err)
--- a/internal/host/forwarder/forwarder.go
+++ b/internal/host/forwarder/forwarder.go
@@ -288,7 +288,7 @@
 // relayer, the lender and the delegator need of the update. The watcher makes one call at a
 // time.
 func (f *Forwarder) applyUpdate(w subscriber.RoutingState) {
-	if w.Version > 0 && (f.table == nil || f.table.Version != w.Version) {
+	if w.Document != nil && (f.table == nil || f.table.Version != w.Version) {
 		table, err := f.adapter.DecodeDocument(w.Document)
 		if err != nil {
 			// Control hosts accept only documents that they can decode, so this host
--- a/internal/route/relayer/delegate_test.go
+++ b/internal/route/relayer/delegate_test.go
@@ -173,3 +173,18 @@
 		Header: http.Header{}, Received: time.Now(), Delegated: true, Table: 1})
 	require.Equal(t, NoServer, a.Reason)
 }
+
+// TestHandedOverVersionZero guards against a request that no host takes over because the
+// routing table has version 0, and against one that is taken without a table or by another.
+func TestHandedOverVersionZero(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Unsafe)}, map[string][]string{"s": {"a"}})
+	request := Request{ID: "id", Method: http.MethodGet, Target: "/x", Path: "/x", Host: "h", HostHeader: "h", Header: http.Header{}, Received: time.Now(), Delegated: true}
+	require.Equal(t, NotReady, newTestRelayer().Do(t.Context(), request).Reason)
+	require.Equal(t, NotReady, env.relayer.Do(t.Context(), request).Reason)
+	table, err := router.New(0, []router.Route{singleRoute(router.Unsafe)}, []router.Service{{Name: "s", ConnectionLimit: 100}}, router.Limits{})
+	require.NoError(t, err)
+	env.relayer.Update(t.Context(), table, env.registry(), position(0, 1))
+	require.Equal(t, Served, env.relayer.Do(t.Context(), request).Reason)
+	request.Table = 1
+	require.Equal(t, NotReady, env.relayer.Do(t.Context(), request).Reason)
+}
