Bound the memory of answers on the own interface

What callers saw: a backend server that sends bytes without end in place of an answer takes the memory of the entry host that called it, and in the end all requests there.

Cause: requests of package caller carried no allowance, so each answer could take what the connector allows at most, whatever the memory of the host. What a search gathers from its shards, and its decoded hits, were not bounded at all.

Fix: entry hosts have the settings memory, files and answers. All answers of backend servers share a quarter of the memory, as on relays; the allowance of an answer lasts until its reply was sent or handed over, that of a search or an order until the answer is written. Hits are written as they came. Long answers to orders are cut before they wait for the control hosts. Defaults leave the largest answer as it was, 8 MiB.

An answer that found no memory is "cancelled": its server is not at fault.

--- a/cmd/gentianpond/entry.go
+++ b/cmd/gentianpond/entry.go
@@ -36,6 +36,7 @@
 
 // runEntryHost runs an entry host until a signal stops it or a part of it fails.
 func runEntryHost(s loader.EntrySettings) (err error) {
+	limitMemory(s.MemoryBytes)
 	metrics := reporter.NewMetrics()
 	defer func() { err = errors.Join(err, metrics.Close()) }()
 	traces, err := reporter.NewTraces(s.Trace)
--- a/internal/backend/connector/allowance.go
+++ b/internal/backend/connector/allowance.go
@@ -44,6 +44,9 @@
 	a.parent.release(n)
 }
 
+// Take reserves n bytes until Close. Errors are those of Do: ErrTooLarge and ErrExhausted.
+func (a *Allowance) Take(n int64) error { return a.take(n) }
+
 // take reserves n bytes. The error is ErrTooLarge if a itself does not have them or is
 // closed, and ErrExhausted if a larger allowance does not; nothing is reserved then.
 func (a *Allowance) take(n int64) error {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/control/subscriber"
 	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/fleet/tracker"
@@ -28,6 +30,7 @@
 	"gentianpond/internal/observe/reporter"
 	"gentianpond/internal/order/executor"
 	"gentianpond/internal/protocol/messenger"
+	"gentianpond/internal/search/caller"
 	"gentianpond/internal/search/coordinator"
 	"gentianpond/internal/search/dispatcher"
 	"gentianpond/internal/settings/checker"
@@ -43,6 +46,10 @@
 // stop. If it fails, the control hosts remove the host once its syncs stop.
 const leaveTimeout = 5 * time.Second
 
+// answerMemoryDivisor is the reciprocal of the share of the host's memory that the answers of
+// backend servers may hold.
+const answerMemoryDivisor = 4
+
 // bodyTime bounds the time to read the body of a request.
 const bodyTime = 10 * time.Second
 
@@ -76,6 +83,8 @@
 	dispatcher *dispatcher.Dispatcher
 	// executor runs orders.
 	executor *executor.Executor
+	// answers is the memory for the answers of backend servers to all requests.
+	answers *connector.Allowance
 	// peers returns clients of the other entry hosts.
 	peers *peerClients
 	// completedFingerprints holds the fingerprints (see admission) of recent searches
@@ -133,6 +142,9 @@
 // New returns an entry host that listens on its addresses. It serves requests once
 // its parts run; see AddTo.
 func New(s loader.EntrySettings, logger *log.Logger, metrics *reporter.Metrics, traces *reporter.Traces) (*Gateway, error) {
+	s.MemoryBytes = cmp.Or(s.MemoryBytes, acceptor.DefaultMemoryBytes)
+	s.Files = cmp.Or(s.Files, acceptor.DefaultFiles)
+	s.AnswerBytes = cmp.Or(s.AnswerBytes, caller.DefaultAnswerBytes)
 	httpListener, err := net.Listen("tcp", s.Listen.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -155,8 +167,10 @@
 		httpListener:          httpListener,
 		grpcListener:          grpcListener,
 	}
+	g.answers = connector.NewAllowance(g.settings.MemoryBytes/answerMemoryDivisor, nil)
 	g.control = g.newSubscriber()
 	g.dispatcher = dispatcher.New(g.self, func() time.Time { return g.control.State().LeaseEnd }, g.reportObservation)
+	g.dispatcher.LimitAnswers(g.answers, g.settings.AnswerBytes)
 	g.coordinator = coordinator.New(g.self, g, metrics.Scope)
 	g.executor = &executor.Executor{Host: s.Name, Incarnation: g.self.Incarnation, Ledger: ledgerClient{g}, Dispatcher: orderDispatcher{g}, Background: g.backgroundTasks.Go}
 	g.grpcServer = messenger.NewServer(append(acceptor.LimitCalls(), grpc.StatsHandler(otelgrpc.NewServerHandler(traces.GRPCOptions()...)))...)
@@ -164,10 +178,10 @@
 	g.httpServer = &http.Server{Handler: g.mux(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute}
 	acceptor.Attach(g.httpServer)
 	g.clients = acceptor.New(httpListener, acceptor.Config{
-		Limits: acceptor.ClientLimits(acceptor.DefaultMemoryBytes, acceptor.DefaultFiles), BodyTime: bodyTime, Name: "callers", Log: logger, Scope: metrics.Scope,
+		Limits: acceptor.ClientLimits(s.MemoryBytes, s.Files), BodyTime: bodyTime, Name: "callers", Log: logger, Scope: metrics.Scope,
 	})
 	g.grpcListener = acceptor.NewHostListener(grpcListener, acceptor.HostConfig{
-		Limits: acceptor.EntryHostLimits(acceptor.DefaultMemoryBytes, acceptor.DefaultFiles), IsHost: g.isHost, Log: logger, Scope: metrics.Scope,
+		Limits: acceptor.EntryHostLimits(s.MemoryBytes, s.Files), IsHost: g.isHost, Log: logger, Scope: metrics.Scope,
 	})
 	return g, nil
 }
--- a/internal/host/gateway/http.go
+++ b/internal/host/gateway/http.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.opentelemetry.io/otel/attribute"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/guard/quarantiner"
 	"gentianpond/internal/host/acceptor"
 	"gentianpond/internal/order/executor"
@@ -59,16 +60,19 @@
 func (g *Gateway) handleSearch(w http.ResponseWriter, r *http.Request) {
 	var q SearchRequest
 	a := SearchAnswer{Outcome: OutcomeNotRun, Coverage: Coverage{Missing: []uint32{}}, Hits: []json.RawMessage{}}
+	answers := g.newAnswers()
+	defer answers.Close()
+	var bodies [][]byte
 	refused := g.decodeRequest(w, r, &q)
 	if refused == nil {
 		a.ID = q.ID
-		refused = g.search(r.Context(), q, &a)
+		bodies, refused = g.search(r.Context(), q, answers, &a)
 	}
 	if refused != nil {
 		a.Code, a.Reason = refused.code, refused.reason
 	}
 	g.scope.Tagged(map[string]string{"outcome": a.Outcome, "code": a.Code}).Counter("searches").Inc(1)
-	writeJSON(w, httpStatus(a.Code), a)
+	writeSearchAnswer(w, httpStatus(a.Code), a, bodies)
 }
 
 // decodeRequest decodes the JSON body of a request into v. A body with unknown fields
@@ -189,11 +193,12 @@
 	return d, nil
 }
 
-// search runs a search and sets its result in a, except the code and the reason of
-// the refusal that it returns.
-func (g *Gateway) search(ctx context.Context, q SearchRequest, a *SearchAnswer) *refusal {
+// search runs a search and returns the lists of hits of the shards. It sets the rest of the
+// result in a, except the code and the reason of the refusal that it returns. The lists are
+// counted in answers.
+func (g *Gateway) search(ctx context.Context, q SearchRequest, answers *connector.Allowance, a *SearchAnswer) ([][]byte, *refusal) {
 	if !g.beginRequest() {
-		return newRefusal(CodeDraining, "this host is stopping")
+		return nil, newRefusal(CodeDraining, "this host is stopping")
 	}
 	defer g.requests.Done()
 	if q.Lane == "" {
@@ -201,7 +206,7 @@
 	}
 	adm, refused := g.admit(q.Archive, q.Lane, q.Deadline, q.Query)
 	if refused != nil {
-		return refused
+		return nil, refused
 	}
 	ctx, span := g.tracer.Start(ctx, "search")
 	defer span.End()
@@ -209,6 +214,7 @@
 	start := time.Now()
 	result, err := g.coordinator.Search(ctx, coordinator.Request{
 		Archive: q.Archive, Lane: q.Lane, Body: adm.body, Deadline: adm.deadline, Fingerprint: adm.fingerprint, Alone: adm.alone, Canary: adm.canary,
+		Answers: answers,
 	})
 	g.scope.Tagged(map[string]string{"archive": q.Archive, "lane": q.Lane}).Timer("search_latency").Record(time.Since(start))
 	a.Snapshot = result.Snapshot
@@ -217,37 +223,70 @@
 		if errors.Is(err, coordinator.ErrNoAnswer) {
 			a.Outcome = OutcomeUnknown
 		}
-		return newRefusal(searchErrorCode(err), err.Error())
+		return nil, newRefusal(searchErrorCode(err), err.Error())
 	}
 	a.Outcome = OutcomeRan
-	a.Hits = joinHits(result.Bodies)
 	if result.Coverage.Complete() && !result.Crashed {
 		g.completedFingerprints.Add(adm.fingerprint)
 	}
-	return nil
+	return result.Bodies, nil
 }
 
-// joinHits concatenates the lists of hits of the shards' answers in shard order. It
-// leaves out answers that are not a JSON list.
-func joinHits(bodies [][]byte) []json.RawMessage {
-	all := []json.RawMessage{}
+// newAnswers returns the memory for the answers to one request of a caller.
+func (g *Gateway) newAnswers() *connector.Allowance {
+	return connector.NewAllowance(g.settings.AnswerBytes, g.answers)
+}
+
+// writeSearchAnswer writes the answer to a search, whose hits are the lists in bodies in this
+// order. It decodes and copies none of them: decoded, a list of short hits takes many times
+// its length. Bodies that are not a JSON list are left out.
+func writeSearchAnswer(w http.ResponseWriter, status int, a SearchAnswer, bodies [][]byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The list of hits is the last field of an answer, and empty here.
+	a.Hits = []json.RawMessage{}
+	frame, err := json.Marshal(a)
+	before, ok := bytes.CutSuffix(frame, []byte("]}"))
+	if err != nil || !ok {
+		return
+	}
+	// Write errors mean that the caller has disconnected.
+	_, _ = w.Write(before)
+	first := true
 	for _, body := range bodies {
-		var list []json.RawMessage
-		if json.Unmarshal(body, &list) == nil {
-			all = append(all, list...)
+		hits, ok := listContent(body)
+		if !ok || len(hits) == 0 {
+			continue
+		}
+		if !first {
+			_, _ = w.Write([]byte{','})
 		}
+		first = false
+		_, _ = w.Write(hits)
+	}
+	_, _ = w.Write([]byte("]}\n"))
+}
+
+// listContent returns what stands between the brackets of a JSON list, and false for anything
+// else.
+func listContent(body []byte) ([]byte, bool) {
+	body = bytes.TrimSpace(body)
+	if len(body) < 2 || body[0] != '[' || !json.Valid(body) {
+		return nil, false
 	}
-	return all
+	return bytes.TrimSpace(body[1 : len(body)-1]), true
 }
 
 // handleOrder serves POST /v1/order.
 func (g *Gateway) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var o OrderRequest
 	a := OrderAnswer{Outcome: OutcomeNotRun}
+	answers := g.newAnswers()
+	defer answers.Close()
 	refused := g.decodeRequest(w, r, &o)
 	if refused == nil {
 		a.ID = o.ID
-		refused = g.order(r.Context(), o, r.Header.Get(IdempotencyKeyHeader), &a)
+		refused = g.order(r.Context(), o, r.Header.Get(IdempotencyKeyHeader), answers, &a)
 	}
 	if refused != nil {
 		a.Code, a.Reason = refused.code, refused.reason
@@ -258,8 +297,9 @@
 
 // order runs an order under its idempotency key, which may be empty, and sets its
 // result in a, except the code and the reason of the refusal that it returns. An
-// order that is refused now may have run earlier if its key was granted.
-func (g *Gateway) order(ctx context.Context, o OrderRequest, key string, a *OrderAnswer) *refusal {
+// order that is refused now may have run earlier if its key was granted. The answer of the
+// backend server is counted in answers.
+func (g *Gateway) order(ctx context.Context, o OrderRequest, key string, answers *connector.Allowance, a *OrderAnswer) *refusal {
 	if !g.beginRequest() {
 		return newRefusal(CodeDraining, "this host is stopping")
 	}
@@ -281,6 +321,7 @@
 	span.SetAttributes(attribute.String("archive", o.Archive), attribute.String("id", o.ID))
 	result := g.executor.Run(ctx, executor.Order{
 		Archive: o.Archive, Key: key, Body: adm.body, Deadline: adm.deadline, Fingerprint: adm.fingerprint, Alone: adm.alone, Retention: adm.settings.Retention,
+		Answers: answers,
 	})
 	a.Outcome = outcomeNames[result.Outcome]
 	a.Code, a.Reason, a.Repeat, a.Answer = result.Code, result.Reason, result.Repeat, result.Body
--- a/internal/host/gateway/orders.go
+++ b/internal/host/gateway/orders.go
@@ -16,6 +16,10 @@
 	"gentianpond/internal/search/limiter"
 )
 
+// orderAnswerCost is the number of times that the answer to an order is held: it is encoded
+// once more for the caller.
+const orderAnswerCost = 2
+
 // orderDispatcher is the executor's Dispatcher. It sends each order to the entry host
 // that owns the backend server.
 type orderDispatcher struct{ *Gateway }
@@ -26,8 +30,19 @@
 	return executor.Target{Server: b.Name, Incarnation: b.Incarnation, Snapshot: snapshot, Shard: shard}, err
 }
 
-// Run sends one order to the owner of its backend server, once.
+// Run sends one order to the owner of its backend server, once. The answer is counted in the
+// memory of the order.
 func (o orderDispatcher) Run(ctx context.Context, t executor.Target, order executor.Order, attempt string) caller.Result {
+	result := o.run(ctx, t, order, attempt)
+	defer result.Release()
+	if err := order.Answers.Take(orderAnswerCost * int64(len(result.Body))); err != nil {
+		return caller.Result{Status: caller.Cancelled, Err: errors.Wrap(err, "answer to the order")}
+	}
+	return result
+}
+
+// run sends one order to the owner of its backend server, once.
+func (o orderDispatcher) run(ctx context.Context, t executor.Target, order executor.Order, attempt string) caller.Result {
 	r := &messenger.RunRequest{
 		Attempt: attempt, Archive: order.Archive, Body: order.Body, Server: t.Server, Incarnation: t.Incarnation,
 		Deadline: durationpb.New(time.Until(order.Deadline)), Fingerprint: order.Fingerprint, Snapshot: t.Snapshot, Shard: t.Shard, Alone: order.Alone,
@@ -43,7 +58,7 @@
 	if err != nil {
 		return caller.Result{Status: caller.Unsent, Err: err}
 	}
-	m, err := client.Run(ctx, r)
+	m, err := client.Run(ctx, r, limitReply)
 	if err != nil {
 		// The owner may have run the order: only its reply could prove otherwise.
 		return caller.Result{Status: caller.Failed, Err: errors.Wrap(err, "run on the owner")}
--- a/internal/host/gateway/peers.go
+++ b/internal/host/gateway/peers.go
@@ -22,6 +22,13 @@
 	conns messenger.Conns
 }
 
+// maxReplyBytes bounds a reply of another entry host. It is above the longest body that a host
+// takes from a backend server.
+const maxReplyBytes = 9 << 20
+
+// limitReply applies maxReplyBytes to a call.
+var limitReply = grpc.MaxCallRecvMsgSize(maxReplyBytes)
+
 // newPeerClients returns clients whose calls are traced and come from a local address.
 func newPeerClients(local netip.Addr, traces *reporter.Traces) *peerClients {
 	handler := otelgrpc.NewClientHandler(traces.GRPCOptions()...)
--- a/internal/host/gateway/scan.go
+++ b/internal/host/gateway/scan.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	stream, err := client.Scan(ctx, r)
+	stream, err := client.Scan(ctx, r, limitReply)
 	if err != nil {
 		return errors.Wrap(err, "start scan")
 	}
@@ -58,7 +58,8 @@
 	deadline := time.Now().Add(r.GetDeadline().AsDuration())
 	for _, s := range r.GetSubrequests() {
 		group.Go(func() {
-			m := g.runSubrequest(ctx, r, s, deadline)
+			m, release := g.runSubrequest(ctx, r, s, deadline)
+			defer release()
 			mu.Lock()
 			defer mu.Unlock()
 			if replyErr == nil {
@@ -70,8 +71,9 @@
 	return replyErr
 }
 
-// runSubrequest runs one sub-request and returns its reply.
-func (g *Gateway) runSubrequest(ctx context.Context, r *messenger.ScanRequest, s *messenger.Subrequest, deadline time.Time) *messenger.ScanReply {
+// runSubrequest runs one sub-request and returns its reply, and a function that returns the
+// memory of the reply.
+func (g *Gateway) runSubrequest(ctx context.Context, r *messenger.ScanRequest, s *messenger.Subrequest, deadline time.Time) (*messenger.ScanReply, func()) {
 	result := g.dispatch(ctx, dispatcher.Request{
 		Server: s.GetServer(), Incarnation: s.GetIncarnation(), Path: caller.SearchPath, Lane: parseLane(r.GetLane()), Alone: s.GetAlone(),
 		Deadline: deadline, Fingerprint: r.GetFingerprint(),
@@ -83,7 +85,7 @@
 	return &messenger.ScanReply{
 		Attempt: s.GetAttempt(), Shard: s.GetShard(), Status: uint32(result.Status), Body: result.Body, Snapshot: r.GetSnapshot(),
 		Latency: durationpb.New(result.Latency),
-	}
+	}, result.Release
 }
 
 // dispatch sends a request to a backend server that this host owns, unless this host
--- a/internal/host/gateway/service.go
+++ b/internal/host/gateway/service.go
@@ -25,6 +25,7 @@
 // breaks, as an order of this host's own callers does.
 func (s *entryService) Run(ctx context.Context, r *messenger.RunRequest) (*messenger.RunReply, error) {
 	result := s.gateway.runOrder(context.WithoutCancel(ctx), r)
+	defer result.Release()
 	return &messenger.RunReply{Status: uint32(result.Status), Answer: result.Body}, nil
 }
 
--- a/internal/order/executor/executor.go
+++ b/internal/order/executor/executor.go
@@ -10,6 +10,7 @@
 package executor
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,6 +19,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/order/recorder"
 	"gentianpond/internal/search/caller"
 )
@@ -92,6 +94,8 @@
 	Alone bool
 	// Retention is how long the outcome is kept for resends.
 	Retention time.Duration
+	// Answers is the memory that the answer may hold. Nil means no limit.
+	Answers *connector.Allowance
 }
 
 // Answer is what the caller is told.
@@ -254,11 +258,16 @@
 // recordOutcome has the outcome written. The caller's answer does not wait for it:
 // until it is written a resend is told "in progress" or "unknown".
 func (e *Executor) recordOutcome(o Order, attempt string, a Answer) {
+	body := a.Body
+	if len(body) > recorder.MaxAnswer {
+		// The ledger keeps no longer answer, and only has to learn that this one is longer.
+		body = bytes.Clone(body[:recorder.MaxAnswer+1])
+	}
 	e.Background(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), completeTimeout)
 		defer cancel()
 		// A failure leaves the key in progress, then unknown; both are true.
-		_ = e.Ledger.Complete(ctx, o.Key, attempt, a.Outcome, a.Code, a.Body)
+		_ = e.Ledger.Complete(ctx, o.Key, attempt, a.Outcome, a.Code, body)
 	})
 }
 
--- a/internal/order/executor/executor_test.go
+++ b/internal/order/executor/executor_test.go
@@ -178,3 +178,38 @@
 		w.late = w.late[1:]
 	}
 }
+
+// plainLedger grants each key and keeps the length of the answers that it is given.
+type plainLedger struct{ lengths []int }
+
+func (l *plainLedger) Reserve(context.Context, executor.Order, string) (executor.Reservation, error) {
+	return executor.Reservation{Verdict: recorder.VerdictGranted}, nil
+}
+
+func (l *plainLedger) Complete(_ context.Context, _, _ string, _ recorder.Outcome, _ string, answer []byte) error {
+	l.lengths = append(l.lengths, len(answer))
+	return nil
+}
+
+// plainDispatcher answers each order with a body of a length.
+type plainDispatcher struct{ length int }
+
+func (plainDispatcher) Choose(string, string) (executor.Target, error) { return executor.Target{}, nil }
+
+func (d plainDispatcher) Run(context.Context, executor.Target, executor.Order, string) caller.Result {
+	return caller.Result{Status: caller.Answered, Body: make([]byte, d.length)}
+}
+
+// TestLongAnswers guards against long answers that are held, and sent to the control hosts, only
+// for the ledger to leave them out.
+func TestLongAnswers(t *testing.T) {
+	for _, c := range []struct{ length, recorded int }{
+		{0, 0}, {recorder.MaxAnswer, recorder.MaxAnswer}, {recorder.MaxAnswer + 1, recorder.MaxAnswer + 1}, {8 << 20, recorder.MaxAnswer + 1},
+	} {
+		ledger := &plainLedger{}
+		e := &executor.Executor{Ledger: ledger, Dispatcher: plainDispatcher{c.length}, Background: func(f func()) { f() }}
+		a := e.Run(t.Context(), executor.Order{Key: "1-a", Deadline: time.Now().Add(time.Minute)})
+		require.Len(t, a.Body, c.length)
+		require.Equal(t, []int{c.recorded}, ledger.lengths)
+	}
+}
--- a/internal/search/caller/caller.go
+++ b/internal/search/caller/caller.go
@@ -31,18 +31,34 @@
 // some milliseconds to notice.
 const cancelGracePeriod = 200 * time.Millisecond
 
+const (
+	// DefaultAnswerBytes is the memory that one answer may hold while it is read and decoded,
+	// and defaultAnswersBytes what all answers of a server may hold together.
+	DefaultAnswerBytes  = 16 << 20
+	defaultAnswersBytes = 32 << 20
+)
+
 // Caller holds the connections to one incarnation of one backend server.
 type Caller struct {
 	// host is the Host header of requests: the server's address.
 	host string
 	// pool holds the connections to the server.
 	pool *connector.Pool
+	// answers is the memory for all answers, and answerBytes bounds that of one of them.
+	answers     *connector.Allowance
+	answerBytes int64
 }
 
 // New returns a caller for the server at addr that holds at most limit
 // connections. It connects on the first call or on Preconnect.
 func New(addr netip.AddrPort, limit int) *Caller {
-	return &Caller{host: addr.String(), pool: connector.New(addr, limit)}
+	return NewWithin(addr, limit, connector.NewAllowance(defaultAnswersBytes, nil), DefaultAnswerBytes)
+}
+
+// NewWithin is New with the memory that the answers hold, which may be shared with other
+// callers, and the memory in bytes that each of them may hold.
+func NewWithin(addr netip.AddrPort, limit int, answers *connector.Allowance, answerBytes int64) *Caller {
+	return &Caller{host: addr.String(), pool: connector.New(addr, limit), answers: answers, answerBytes: answerBytes}
 }
 
 // CloseIdle closes the connections that no call is using.
@@ -59,7 +75,7 @@
 }
 
 // Call sends m to path once and waits for the answer. The request is cancelled
-// when ctx ends.
+// when ctx ends. The result has to be released when its body is no longer needed.
 func (c *Caller) Call(ctx context.Context, path string, m Message) Result {
 	start := time.Now()
 	r := c.call(ctx, path, m)
@@ -73,6 +89,7 @@
 	if err != nil {
 		return Result{Status: Unsent, Err: errors.Wrap(err, "encode request")}
 	}
+	answer := connector.NewAllowance(c.answerBytes, c.answers)
 	res, err := c.pool.Do(ctx, &connector.Request{
 		Method:    http.MethodPost,
 		Target:    path,
@@ -80,14 +97,24 @@
 		Header:    http.Header{"Content-Type": {"application/json"}},
 		Body:      data,
 		CloseWait: cancelGracePeriod,
+		Allowance: answer,
 	})
 	switch {
 	case errors.Is(err, connector.ErrUnsent):
 		return Result{Status: Unsent, Err: errors.Wrap(err, "call backend server")}
+	case errors.Is(err, connector.ErrExhausted):
+		// The server is not at fault, and the request is not repeated at once.
+		return Result{Status: Cancelled, Err: errors.Wrap(err, "call backend server")}
 	case err != nil:
 		return Result{Status: interruptedStatus(ctx), Err: errors.Wrap(err, "call backend server")}
 	}
-	return decodeResponse(res, m)
+	r := decodeResponse(res, m)
+	if r.Status != Answered {
+		answer.Close()
+		return r
+	}
+	r.answer = answer
+	return r
 }
 
 // decodeResponse converts the HTTP response to the request m to a result.
--- a/internal/search/caller/message.go
+++ b/internal/search/caller/message.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"gentianpond/internal/backend/connector"
 )
 
 // StartedHeader is set to "no" by a backend server that refuses a request
@@ -57,4 +59,11 @@
 	Latency time.Duration
 	// Err says why there is no answer.
 	Err error
+
+	// answer is the memory that the body holds.
+	answer *connector.Allowance
 }
+
+// Release returns the memory of the answer to the allowance of the host. The body must not be
+// used any more, or has to be counted elsewhere.
+func (r Result) Release() { r.answer.Close() }
--- a/internal/search/coordinator/coordinator.go
+++ b/internal/search/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/protocol/messenger"
 	"gentianpond/internal/search/caller"
@@ -69,6 +70,8 @@
 	Alone bool
 	// Canary sends one shard first and the others once it is answered.
 	Canary bool
+	// Answers is the memory that the answers of the shards may hold. Nil means no limit.
+	Answers *connector.Allowance
 }
 
 // Answer is the result of a search that ran.
@@ -115,7 +118,7 @@
 // droppedAnswers the replies to unknown attempts and the answers that do not
 // match their attempt.
 type metrics struct {
-	firstAttempts, hedges, retries, reroutes, restarts, droppedAnswers tally.Counter
+	firstAttempts, hedges, retries, reroutes, restarts, droppedAnswers, uncountedAnswers tally.Counter
 }
 
 // New returns a coordinator for the entry host self.
@@ -133,7 +136,7 @@
 			retries:        scope.Counter("subrequests_retried"),
 			reroutes:       scope.Counter("subrequests_rerouted"),
 			restarts:       scope.Counter("search_restarts"),
-			droppedAnswers: scope.Counter("answers_dropped"),
+			droppedAnswers: scope.Counter("answers_dropped"), uncountedAnswers: scope.Counter("answers_without_memory"),
 		},
 	}
 }
--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -300,7 +300,7 @@
 	}
 	err := q.coordinator.sender.Scan(ctx, owner, r, func(m *messenger.ScanReply) {
 		delete(waiting, m.GetAttempt())
-		q.deliver(ctx, attemptReply{attempt: m.GetAttempt(), shard: m.GetShard(), status: caller.Status(m.GetStatus()), body: m.GetBody(), snapshot: m.GetSnapshot()})
+		q.deliver(ctx, q.countAnswer(attemptReply{attempt: m.GetAttempt(), shard: m.GetShard(), status: caller.Status(m.GetStatus()), body: m.GetBody(), snapshot: m.GetSnapshot()}))
 	})
 	status := caller.Failed
 	if errors.Is(err, ErrUnsent) {
@@ -311,6 +311,22 @@
 	}
 }
 
+// uncountedBytes is the size up to which an answer needs no memory of the allowance.
+const uncountedBytes = 2 << 10
+
+// countAnswer counts the memory of an answer until the search ends. An answer for which there
+// is none is dropped, which says nothing about its server.
+func (q *query) countAnswer(r attemptReply) attemptReply {
+	if len(r.body) <= uncountedBytes {
+		return r
+	}
+	if err := q.request.Answers.Take(int64(len(r.body))); err != nil {
+		q.coordinator.metrics.uncountedAnswers.Inc(1)
+		r.status, r.body = caller.Cancelled, nil
+	}
+	return r
+}
+
 // deliver passes a reply to the goroutine of run, or drops it when the run on
 // this snapshot has ended.
 func (q *query) deliver(ctx context.Context, r attemptReply) {
--- a/internal/search/coordinator/search_test.go
+++ b/internal/search/coordinator/search_test.go
@@ -16,10 +16,12 @@
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/fleet/tracker"
 	"gentianpond/internal/protocol/messenger"
 	"gentianpond/internal/search/caller"
+	"gentianpond/internal/search/selector"
 	"gentianpond/internal/settings/checker"
 	"gentianpond/test/seeder"
 )
@@ -197,3 +199,25 @@
 		require.False(t, shards[shard], "a missing shard has an answer")
 	}
 }
+
+// TestAnswersWithoutMemory guards against answers of shards that take the memory of the host, and
+// against a server that is blamed for it or a search that is called not started.
+func TestAnswersWithoutMemory(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	q := &query{coordinator: New(assigner.Member{Name: "a"}, nil, scope), request: Request{Answers: connector.NewAllowance(10<<10, nil)}}
+	small := attemptReply{status: caller.Answered, body: make([]byte, uncountedBytes)}
+	long := attemptReply{status: caller.Answered, body: make([]byte, 6<<10)}
+	require.Equal(t, long, q.countAnswer(long))
+	dropped := q.countAnswer(long)
+	require.Equal(t, caller.Cancelled, dropped.status)
+	require.Empty(t, dropped.body)
+	require.False(t, dropped.status.NotStarted())
+	require.Equal(t, selector.Cancelled, selectorStatus(dropped.status))
+	for range 100 {
+		require.Equal(t, small, q.countAnswer(small))
+	}
+	require.EqualValues(t, 6<<10, q.request.Answers.Used())
+	require.EqualValues(t, 1, scope.Snapshot().Counters()["answers_without_memory+"].Value())
+	q.request.Answers = nil
+	require.Equal(t, long, q.countAnswer(long), "no limit")
+}
--- a/internal/search/dispatcher/dispatcher.go
+++ b/internal/search/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/assigner"
 	"gentianpond/internal/fleet/tracker"
 	"gentianpond/internal/search/caller"
@@ -82,6 +83,11 @@
 	// leaseEnd returns the end of this host's lease.
 	leaseEnd func() time.Time
 
+	// answers is the memory for the answers of all servers, nil for the defaults of callers.
+	// answerBytes bounds that of one answer.
+	answers     *connector.Allowance
+	answerBytes int64
+
 	// mu guards the fields below and those of the servers.
 	mu sync.Mutex
 	// rules decide which servers this host may use.
@@ -134,6 +140,21 @@
 	}
 }
 
+// LimitAnswers sets the memory that the answers of all servers may hold, and the memory in
+// bytes that each of them may hold. It is called before UpdateServers.
+func (d *Dispatcher) LimitAnswers(all *connector.Allowance, each int64) {
+	d.answers, d.answerBytes = all, each
+}
+
+// newCaller returns the caller for a server.
+func (d *Dispatcher) newCaller(s tracker.Server) *caller.Caller {
+	connections := max(1, min(s.Slots, s.ConnectionLimit))
+	if d.answers == nil {
+		return caller.New(s.Address, connections)
+	}
+	return caller.NewWithin(s.Address, connections, d.answers, d.answerBytes)
+}
+
 // Adopt puts a view in use unless it is older than the adopted one; settled tells
 // whether the view is known to be settled.
 func (d *Dispatcher) Adopt(v assigner.View, settled bool) {
@@ -211,7 +232,7 @@
 	}
 	d.servers[s.ServerName] = &server{
 		Server:  s,
-		caller:  caller.New(s.Address, max(1, min(s.Slots, s.ConnectionLimit))),
+		caller:  d.newCaller(s),
 		limiter: limiter.New(limiter.Config{}, s.Slots),
 		waiters: map[uint64]chan limiter.Event{},
 	}
@@ -273,7 +294,7 @@
 }
 
 // Do waits for a slot of the server, sends the request once and returns its
-// result.
+// result, which has to be released.
 func (d *Dispatcher) Do(ctx context.Context, r Request) caller.Result {
 	s, ticket, wait, err := d.requestSlot(r)
 	if err == nil && wait != nil {
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -49,6 +49,11 @@
 	Drain time.Duration
 	// Trace is the file that trace spans are written to; empty means none.
 	Trace string
+	// MemoryBytes and Files are the memory and the file descriptors that the host has.
+	MemoryBytes int64
+	Files       int
+	// AnswerBytes is the memory that the answers of backend servers to one request may hold.
+	AnswerBytes int64
 }
 
 // ControlSettings holds the settings of a control host.
@@ -98,7 +103,7 @@
 func ParseEntry(name string, text []byte) (EntrySettings, []scanner.Fault, error) {
 	s, root := scanner.Parse(name, text)
 	var e EntrySettings
-	if o, ok := root.Object("name", "zone", "listen", "inner", "control", "drain", "trace"); ok {
+	if o, ok := root.Object("name", "zone", "listen", "inner", "control", "drain", "trace", "memory", "files", "answers"); ok {
 		e = parseEntry(o)
 	}
 	if err := s.Err(); err != nil {
@@ -124,6 +129,8 @@
 	if n, ok := o.Field("trace"); ok {
 		e.Trace, _ = n.String()
 	}
+	e.MemoryBytes, e.Files = parseMachine(o)
+	e.AnswerBytes = parseAnswers(o, e.MemoryBytes/entryAnswersPerMemory, maxEntryAnswerBytes)
 	return e
 }
 
--- a/internal/settings/loader/relay_member.go
+++ b/internal/settings/loader/relay_member.go
@@ -42,6 +42,10 @@
 	// minAnswerBytes and maxAnswerBytes bound the memory for the answers to a request.
 	minAnswerBytes = 256 << 10
 	maxAnswerBytes = 4 << 20
+	// entryAnswersPerMemory and maxEntryAnswerBytes are the same for the project's own
+	// interface, whose answers are longer.
+	entryAnswersPerMemory = 16
+	maxEntryAnswerBytes   = 16 << 20
 )
 
 // RelaySettings holds the settings of an entry host that forwards requests by a routing
@@ -161,11 +165,7 @@
 			r.Share, _ = n.Float(minCoreShare, maxCoreShare)
 		}
 		r.MemoryBytes, r.Files = parseMachine(o)
-		r.AnswerBytes = min(max(r.MemoryBytes/answersPerMemory, minAnswerBytes), maxAnswerBytes)
-		if n, ok := o.Field("answers"); ok {
-			kib, _ := n.Uint(minAnswerBytes>>10, maxAnswerBytes>>10)
-			r.AnswerBytes = int64(kib) << 10
-		}
+		r.AnswerBytes = parseAnswers(o, r.MemoryBytes/answersPerMemory, maxAnswerBytes)
 		if n, ok := o.Field("metrics"); ok {
 			r.Metrics, _ = n.Address()
 		}
@@ -256,6 +256,16 @@
 	return memoryBytes, files
 }
 
+// parseAnswers reads the field answers, the memory for the answers to a request in KiB. What it
+// returns is usual if there is no such field, and at most most.
+func parseAnswers(o scanner.Object, usual, most int64) int64 {
+	if n, ok := o.Field("answers"); ok {
+		kib, _ := n.Uint(minAnswerBytes>>10, uint64(most>>10))
+		return int64(kib) << 10
+	}
+	return min(max(usual, minAnswerBytes), most)
+}
+
 // parseSeeds reads the field control, the addresses at which operators reach
 // control hosts, and returns the inner addresses of these hosts: the inner port is
 // the same on all of them.
--- /dev/null
+++ b/test/crowd/answers_test.go
@@ -0,0 +1,231 @@
+package crowd_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gentianpond/internal/host/gateway"
+	"gentianpond/test/fakes/searcher"
+	"gentianpond/test/standin"
+)
+
+const (
+	// ownShards is the number of shards of the archive whose servers send without end, and
+	// ownReplicas the number of servers of each, all but one of which do.
+	ownShards   = 4
+	ownReplicas = 4
+	// endlessTime is how long the callers come.
+	endlessTime = 7 * time.Second
+	// hitBytes is the size of the hits of sound servers. They need memory for answers.
+	hitBytes = 20 << 10
+)
+
+// ownSystem is a control host and two entry hosts of the project's own interface.
+type ownSystem struct {
+	t       *testing.T
+	entries []netip.AddrPort
+	pids    []int
+	// faulty holds the servers that send without end, all of the archive "albums", and sound
+	// the others, some of the archive "calm".
+	faulty, sound []*searcher.Server
+}
+
+// startOwn starts an ownSystem and waits until both archives are served.
+func startOwn(t *testing.T) *ownSystem {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
+	y := &ownSystem{t: t}
+	folder := t.TempDir()
+	binary := build(t, folder)
+	control := netip.MustParseAddrPort(fmt.Sprintf("127.0.74.210:%d", port+1))
+	y.startProcess(binary, folder, "control", control, fmt.Sprintf(`"data":%q,"hosts":[{"name":"control-210","zone":"z","address":%q}]`, filepath.Join(folder, "data"), control))
+	machine := fmt.Sprintf(`"memory":%d,"files":%d,`, memoryMiB, files)
+	if *plain {
+		machine = ""
+	}
+	for _, number := range []string{"211", "212"} {
+		inner := netip.MustParseAddrPort(fmt.Sprintf("127.0.74.%s:%d", number, port+1))
+		y.pids = append(y.pids, y.startProcess(binary, folder, "entry", inner, fmt.Sprintf(`%s"control":[%q]`, machine, control)))
+		y.entries = append(y.entries, netip.AddrPortFrom(inner.Addr(), port))
+	}
+	for shard := range uint32(ownShards) {
+		for replica := range ownReplicas {
+			s := y.startServer("albums", ownShards, shard, replica)
+			if replica == 0 {
+				y.sound = append(y.sound, s)
+			} else {
+				y.faulty = append(y.faulty, s)
+			}
+		}
+	}
+	for replica := range 2 {
+		y.sound = append(y.sound, y.startServer("calm", 1, 0, replica))
+	}
+	section := filepath.Join(folder, "section.json")
+	archive := `{"deadline":"2s","ceiling":"4s","shards":%d}`
+	require.NoError(t, os.WriteFile(section, fmt.Appendf(nil, `{"archives":{"albums":`+archive+`,"calm":`+archive+`}}`, ownShards, 1), 0o600))
+	require.Eventually(t, func() bool {
+		return exec.Command(binary, "apply", "--control", control.String(), "counter", section).Run() == nil
+	}, 10*time.Second, 100*time.Millisecond)
+	y.requireServed()
+	return y
+}
+
+// startProcess forms and starts a control host, or starts an entry host, with the settings in
+// more, and returns the id of the process.
+func (y *ownSystem) startProcess(binary, folder, role string, inner netip.AddrPort, more string) int {
+	name := fmt.Sprintf("%s-%d", role, inner.Addr().As4()[3])
+	settings := filepath.Join(folder, name+".json")
+	listen := netip.AddrPortFrom(inner.Addr(), port)
+	text := fmt.Sprintf(`{"name":%q,"zone":"z","listen":%q,"inner":%q,%s}`, name, listen, inner, more)
+	require.NoError(y.t, os.WriteFile(settings, []byte(text), 0o600))
+	if role == "control" {
+		out, err := exec.Command(binary, "form", "--settings", settings).CombinedOutput()
+		require.NoError(y.t, err, "%s", out)
+	}
+	p := exec.Command(binary, role, "--settings", settings)
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	require.NoError(y.t, err)
+	p.Stdout, p.Stderr = log, log
+	require.NoError(y.t, p.Start())
+	y.t.Cleanup(func() {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+		_ = log.Close()
+	})
+	return p.Process.Pid
+}
+
+// startServer starts a backend server of one shard.
+func (y *ownSystem) startServer(archive string, shards, shard uint32, replica int) *searcher.Server {
+	s, err := searcher.Start(y.t.Context(), searcher.Settings{
+		Name: fmt.Sprintf("%s-%d-%d", archive, shard, replica), Zone: "z", Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		Slots: 8, Connections: 30, EntryAddresses: y.entries, Uptime: time.Minute,
+		Served: []searcher.ServedSnapshot{{Archive: archive, Snapshot: "1", Count: shards, Shards: []uint32{shard}}},
+	})
+	require.NoError(y.t, err)
+	y.t.Cleanup(s.Stop)
+	return s
+}
+
+// search searches an archive at an entry host.
+func (y *ownSystem) search(entry int, archive, query string) (a gateway.SearchAnswer) {
+	body := fmt.Appendf(nil, `{"archive":%q,"query":%q}`, archive, query)
+	_, data := standin.Call(http.MethodPost, "http://"+y.entries[entry].String()+"/v1/search", body, 5*time.Second)
+	_ = json.Unmarshal(data, &a)
+	return a
+}
+
+// order sends an order to an archive.
+func (y *ownSystem) order(entry int, archive, text string) (a gateway.OrderAnswer) {
+	body := fmt.Appendf(nil, `{"archive":%q,"body":%q}`, archive, text)
+	_, data := standin.Call(http.MethodPost, "http://"+y.entries[entry].String()+"/v1/order", body, 5*time.Second)
+	_ = json.Unmarshal(data, &a)
+	return a
+}
+
+// requireServed requires that both entry hosts serve searches that cover all shards, and orders.
+func (y *ownSystem) requireServed() {
+	y.t.Helper()
+	n := 0
+	for entry := range y.entries {
+		for archive, shards := range map[string]uint32{"albums": ownShards, "calm": 1} {
+			require.Eventually(y.t, func() bool {
+				n++
+				a := y.search(entry, archive, fmt.Sprint("ready-", n))
+				return a.Outcome == gateway.OutcomeRan && a.Coverage.Answered == shards
+			}, 20*time.Second, 50*time.Millisecond, "search of %s at entry host %d", archive, entry)
+			require.Eventually(y.t, func() bool {
+				n++
+				return y.order(entry, archive, fmt.Sprint("ready-", n)).Outcome == gateway.OutcomeRan
+			}, 20*time.Second, 50*time.Millisecond, "order to %s at entry host %d", archive, entry)
+		}
+	}
+}
+
+// TestEndlessAnswers guards against backend servers that send bytes which are no answer, without
+// end: they must take neither the memory of the entry hosts nor the answers of other callers.
+func TestEndlessAnswers(t *testing.T) {
+	y := startOwn(t)
+	for i, s := range y.faulty {
+		s.SetBehavior(searcher.Behavior{Endless: searcher.EndlessKinds[i%len(searcher.EndlessKinds)]})
+	}
+	for _, s := range y.sound {
+		s.SetBehavior(searcher.Behavior{HitBytes: hitBytes})
+	}
+	var answered, calm, calmTries, quarantined atomic.Int64
+	var mu sync.Mutex
+	var notRun []string
+	var group sync.WaitGroup
+	end := time.Now().Add(endlessTime)
+	for n := range 120 {
+		group.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				text, entry := fmt.Sprintf("%d-%d", n, i), n%len(y.entries)
+				code := ""
+				switch n % 4 {
+				case 0:
+					// The same search comes again and again.
+					a := y.search(entry, "albums", "popular")
+					code = a.Code
+					answered.Add(int64(a.Coverage.Answered))
+				case 1:
+					a := y.search(entry, "albums", text)
+					code = a.Code
+					answered.Add(int64(a.Coverage.Answered))
+				case 2:
+					a := y.order(entry, "albums", text)
+					code = a.Code
+					if a.Outcome == gateway.OutcomeNotRun {
+						mu.Lock()
+						notRun = append(notRun, text)
+						mu.Unlock()
+					}
+				default:
+					calmTries.Add(1)
+					if y.search(entry, "calm", text).Outcome == gateway.OutcomeRan && y.order(entry, "calm", text).Outcome == gateway.OutcomeRan {
+						calm.Add(1)
+					}
+				}
+				if code == gateway.CodeQuarantined {
+					quarantined.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d parts of searches, %d of %d pairs of a search and an order of another archive, %d quarantined", answered.Load(), calm.Load(), calmTries.Load(), quarantined.Load())
+	for entry, pid := range y.pids {
+		requireBounded(t, fmt.Sprint("entry host ", entry), pid, memoryMiB, files)
+	}
+	require.Positive(t, answered.Load(), "sound servers answer searches")
+	require.Positive(t, calm.Load(), "another archive is served")
+	for _, s := range slices.Concat(y.faulty, y.sound) {
+		bodies := s.Stats().Bodies
+		for _, text := range notRun {
+			require.Zero(t, bodies[fmt.Sprintf("%q", text)], "order %s was called not run", text)
+		}
+	}
+	for _, s := range y.faulty {
+		s.SetBehavior(searcher.Behavior{})
+	}
+	y.requireServed()
+	for entry, pid := range y.pids {
+		requireBounded(t, fmt.Sprint("entry host ", entry), pid, memoryMiB, files)
+	}
+}
--- a/test/fakes/searcher/behavior.go
+++ b/test/fakes/searcher/behavior.go
@@ -32,6 +32,11 @@
 	// been counted as run, "after" its execution, or in the middle of the
 	// "answer". Empty means that it does not.
 	CloseAt string `json:"close"`
+	// Endless is one of EndlessKinds. The server runs each request and then sends bytes without
+	// end in place of an answer. Empty means that it does not.
+	Endless string `json:"endless"`
+	// HitBytes is the number of bytes by which a hit is longer than its fields.
+	HitBytes int `json:"bytes"`
 	// Load is the load that the server announces, 0 to 1.
 	Load float64 `json:"load"`
 }
@@ -74,4 +79,5 @@
 	Snapshot string `json:"snapshot"`
 	Query    string `json:"query"`
 	Server   string `json:"server"`
+	Padding  string `json:"padding,omitempty"`
 }
--- a/test/fakes/searcher/handle.go
+++ b/test/fakes/searcher/handle.go
@@ -67,6 +67,10 @@
 	if !f.work(r, b) {
 		return
 	}
+	if isEndless(b.Endless) {
+		sendEndless(w, b.Endless)
+		return
+	}
 	f.reply(w, q, b)
 }
 
@@ -170,7 +174,7 @@
 	}
 	a := answer{
 		Query: q.Query, Attempt: q.Attempt, Incarnation: f.incarnation, Snapshot: q.Snapshot, Shard: q.Shard,
-		Body: []hit{{Shard: q.Shard, Snapshot: q.Snapshot, Query: q.Query, Server: f.settings.Name}},
+		Body: []hit{{Shard: q.Shard, Snapshot: q.Snapshot, Query: q.Query, Server: f.settings.Name, Padding: strings.Repeat("x", b.HitBytes)}},
 	}
 	f.mu.Lock()
 	previous := f.previousAnswer
