Suspect no request because of an answer that is none

What callers saw: requests refused as quarantined although they had ended no server, as soon as servers of their archive sent bytes that are no answer, without end.

Cause: package caller called each failure after sending had begun "broken", also an answer that is too long or no answer at all, and the dispatcher takes "broken" for the crash of a server. The same search from many callers was convicted.

Fix: the connector joins ErrMalformed if something came that is no response while the connection was open. Such answers, and those that are too long, are "failed": the server answered, so it has not crashed, and a search tries another replica. Neither status claims that the request has not started. Texts of parser errors are cut at 256 bytes, because they repeat what was read.

--- a/internal/backend/connector/response.go
+++ b/internal/backend/connector/response.go
@@ -52,6 +52,10 @@
 	ErrExhausted = errors.New("no memory left for responses")
 )
 
+// ErrMalformed means that the server sent something that is no response while its connection was
+// open. Do joins it with ErrBroken.
+var ErrMalformed = errors.New("malformed response")
+
 // limitedReader reads from a connection up to a limit and takes the memory for what it
 // reads from an allowance.
 type limitedReader struct {
@@ -67,11 +71,14 @@
 	taken     int64
 	// failure is ErrTooLarge or ErrExhausted after the limit or the allowance ended.
 	failure error
+	// interrupted is set once reading from the connection has failed or reached its end.
+	interrupted bool
 }
 
 // begin prepares for the response to a request with the given allowance.
 func (l *limitedReader) begin(a *Allowance) {
 	l.remaining, l.free, l.cost, l.allowance, l.taken, l.failure = maxHeadBytes, readBufferBytes, headCost, a, 0, nil
+	l.interrupted = false
 }
 
 // end detaches the allowance and returns what was taken from it.
@@ -92,6 +99,7 @@
 		b = b[:l.remaining]
 	}
 	n, err := l.raw.Read(b)
+	l.interrupted = l.interrupted || err != nil
 	l.remaining -= int64(n)
 	paid := max(0, int64(n)-l.free)
 	l.free = max(0, l.free-int64(n))
@@ -111,12 +119,27 @@
 	a, taken := c.limits.end()
 	if err != nil {
 		a.release(taken)
+		kind := c.limits.failure
+		if kind == nil && !c.limits.interrupted {
+			kind = ErrMalformed
+		}
 		// The parser may report the text that was cut off instead of the limit.
-		return nil, false, errors.Join(ErrBroken, c.limits.failure, err)
+		return nil, false, errors.Join(ErrBroken, kind, shorten(err))
 	}
 	return response, keep, nil
 }
 
+// maxErrorBytes bounds the text of an error of the parser, which may repeat what it has read.
+const maxErrorBytes = 256
+
+// shorten returns the error, or one with the beginning of its text if that is long.
+func shorten(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
+	}
+	return err
+}
+
 // readMatching is readResponse without the allowance.
 func (c *conn) readMatching(r *Request) (*Response, bool, error) {
 	if _, err := c.reader.Peek(1); err != nil {
--- a/internal/search/caller/caller.go
+++ b/internal/search/caller/caller.go
@@ -105,6 +105,9 @@
 	case errors.Is(err, connector.ErrExhausted):
 		// The server is not at fault, and the request is not repeated at once.
 		return Result{Status: Cancelled, Err: errors.Wrap(err, "call backend server")}
+	case errors.Is(err, connector.ErrTooLarge), errors.Is(err, connector.ErrMalformed):
+		// The connection did not break, so the request has not crashed the server.
+		return Result{Status: Failed, Err: errors.Wrap(err, "call backend server")}
 	case err != nil:
 		return Result{Status: interruptedStatus(ctx), Err: errors.Wrap(err, "call backend server")}
 	}
--- a/internal/search/caller/status.go
+++ b/internal/search/caller/status.go
@@ -26,9 +26,10 @@
 	TimedOut // timed out
 	// Cancelled means that the request was cancelled after sending had begun.
 	Cancelled // cancelled
-	// Failed means that the server reported an error of its own, that its
-	// answer could not be decoded, or that the owner may have sent the request
-	// and did not report the result.
+	// Failed means that the server reported an error of its own, that it sent
+	// something that is no answer or too long, that its answer could not be
+	// decoded, or that the owner may have sent the request and did not report
+	// the result.
 	Failed // failed
 	// Crossed means that the answer belongs to another request.
 	Crossed // crossed
--- a/test/crowd/answers_test.go
+++ b/test/crowd/answers_test.go
@@ -158,7 +158,8 @@
 }
 
 // TestEndlessAnswers guards against backend servers that send bytes which are no answer, without
-// end: they must take neither the memory of the entry hosts nor the answers of other callers.
+// end: they must take neither the memory of the entry hosts nor the answers of other callers, and
+// none of the requests is at fault.
 func TestEndlessAnswers(t *testing.T) {
 	y := startOwn(t)
 	for i, s := range y.faulty {
@@ -215,6 +216,7 @@
 	}
 	require.Positive(t, answered.Load(), "sound servers answer searches")
 	require.Positive(t, calm.Load(), "another archive is served")
+	require.Zero(t, quarantined.Load(), "requests that end no server are refused")
 	for _, s := range slices.Concat(y.faulty, y.sound) {
 		bodies := s.Stats().Bodies
 		for _, text := range notRun {
