Bound the answers that commands read

A host whose answer has no end made search, order and place, and the demo, read until their memory was used up, or for a minute. They read 32 MiB at most now and say that the answer is too large; for an order that means that it is unknown whether it ran, as for any answer that cannot be decoded.

TestCommandsOfEndlessAnswers sends up to 1 GiB.

--- a/cmd/gentianpond/demo.go
+++ b/cmd/gentianpond/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -233,7 +232,7 @@
 		return s, errors.Wrap(err, "request status of entry host")
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := json.NewDecoder(res.Body).Decode(&s); err != nil {
+	if err := decodeAnswer(res.Body, &s); err != nil {
 		return s, errors.Wrap(err, "decode status of entry host")
 	}
 	return s, nil
--- a/cmd/gentianpond/search.go
+++ b/cmd/gentianpond/search.go
@@ -21,6 +21,9 @@
 // clientTimeout bounds the wait of a command for an entry host's answer.
 const clientTimeout = time.Minute
 
+// maxAnswerBytes bounds the answer of a host to a command. The hits of a search may take 16 MiB.
+const maxAnswerBytes = 32 << 20
+
 func newSearchCommand() command {
 	sub := newSubcommand("search", helpSearch)
 	entry := "127.0.0.1:8080"
@@ -81,12 +84,26 @@
 		return errors.Wrapf(errUnknown, "send request to entry host: %v", err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	if err := json.NewDecoder(res.Body).Decode(answer); err != nil {
+	if err := decodeAnswer(res.Body, answer); err != nil {
 		return errors.Wrapf(errUnknown, "decode answer of entry host with status %d: %v", res.StatusCode, err)
 	}
 	return nil
 }
 
+// errTooLarge means that an answer is longer than maxAnswerBytes.
+var errTooLarge = errors.New("the answer is too large")
+
+// decodeAnswer decodes the JSON value at the beginning of the answer of a host. It reads
+// maxAnswerBytes at most.
+func decodeAnswer(body io.Reader, answer any) error {
+	limited := &io.LimitedReader{R: body, N: maxAnswerBytes}
+	err := json.NewDecoder(limited).Decode(answer)
+	if err != nil && limited.N <= 0 {
+		return errors.Wrapf(errTooLarge, "over %d MiB", maxAnswerBytes>>20)
+	}
+	return err
+}
+
 // printAnswer prints the answer and returns an error with the exit code of the
 // outcome unless the request ran.
 func printAnswer(answer any, outcome, reason string) error {
--- a/test/crowd/answers_test.go
+++ b/test/crowd/answers_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -231,3 +233,40 @@
 		requireBounded(t, fmt.Sprint("entry host ", entry), pid, memoryMiB, files)
 	}
 }
+
+// TestCommandsOfEndlessAnswers guards against commands of the program that read an answer without
+// end until their memory is used up.
+func TestCommandsOfEndlessAnswers(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	require.NoError(t, standin.TrackSources(filepath.Join("..", "..")))
+	binary := build(t, t.TempDir())
+	block := []byte(strings.Repeat(" ", 64<<10))
+	var sent atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"reason":"`))
+		for sent.Load() < 1<<30 {
+			n, err := w.Write(block)
+			sent.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}), ReadHeaderTimeout: time.Second}
+	address := fmt.Sprintf("127.0.74.220:%d", port)
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for _, args := range [][]string{
+		{"search", "--entry", address, "a", "1"}, {"order", "--entry", address, "a", "1"}, {"place", "--relay", address, "host.example", "/x"},
+	} {
+		sent.Store(0)
+		out, err := exec.Command(binary, args...).CombinedOutput()
+		require.Error(t, err, "%s: %s", args, out[:min(len(out), 500)])
+		require.Less(t, len(out), 10<<10, "%s", args[0])
+		require.Contains(t, string(out), "too large", "%s", args[0])
+		require.Less(t, sent.Load(), int64(256<<20), "%s reads on", args[0])
+	}
+}
