Count the answers to requests that another host took over

The answer of another relay was taken in messages of up to 64 MiB, and not counted in the memory for answers. Messages are bounded to 8 MiB now, above what the settings allow the answers to one request, and a longer answer than 2 KiB is counted until it is written. One without room ends with 502: the request may have run.

TestDelegatedAnswerCounted fails without the count ("expected 6144, actual 0").

--- a/internal/host/delegator/delegator.go
+++ b/internal/host/delegator/delegator.go
@@ -40,6 +40,9 @@
 	// reach the backend servers either, shortRest after it was not ready for the request.
 	longRest  = 500 * time.Millisecond
 	shortRest = 50 * time.Millisecond
+	// maxReplyBytes bounds an answer of another host with its headers. It is above what the
+	// settings allow the answers to one request.
+	maxReplyBytes = 8 << 20
 	// idleTimeout is how long a connection to a host is kept without a request.
 	idleTimeout = 10 * time.Second
 	// sweepInterval is how often idle connections are looked for.
@@ -256,7 +259,7 @@
 		return relayer.Answer{}, errors.Join(relayer.ErrNotTaken, err)
 	}
 	request := encodeRequest(r, time.Now(), rand.Uint64())
-	reply, err := messenger.NewRelayClient(conn).Forward(messenger.AnnounceSize(ctx, request), request)
+	reply, err := messenger.NewRelayClient(conn).Forward(messenger.AnnounceSize(ctx, request), request, grpc.MaxCallRecvMsgSize(maxReplyBytes))
 	switch status.Code(err) {
 	case codes.OK:
 	case codes.PermissionDenied, codes.Unimplemented, status.Code(acceptor.ErrNoCallMemory):
--- a/internal/route/relayer/delegate.go
+++ b/internal/route/relayer/delegate.go
@@ -12,6 +12,10 @@
 // hopTime is the time that a request and its answer spend between two hosts.
 const hopTime = 4 * time.Millisecond
 
+// uncountedBytes is the size up to which the answer of another host needs no memory of the
+// allowance.
+const uncountedBytes = 2 << 10
+
 // ErrNotTaken means that no other host took a request. It has not run and will not.
 var ErrNotTaken = errors.New("no other host took the request")
 
@@ -99,7 +103,7 @@
 	switch {
 	case err == nil:
 		q.delegated = true
-		return q.confirmDelegated(a), true
+		return q.countDelegated(q.confirmDelegated(a)), true
 	case errors.Is(err, ErrNotTaken):
 		return Answer{}, false
 	case errors.Is(context.Cause(ctx), context.Canceled):
@@ -120,3 +124,17 @@
 	}
 	return a
 }
+
+// countDelegated counts the answer of another host in the memory for answers, until it is
+// written. One for which there is no room is dropped; the request may have run.
+func (q *query) countDelegated(a Answer) Answer {
+	if a.Reason != Served || len(a.Body) <= uncountedBytes {
+		return a
+	}
+	if err := q.request.Allowance.Take(int64(len(a.Body))); err != nil {
+		q.relayer.config.Scope.Counter("answers_without_memory").Inc(1)
+		q.relayer.config.Log.Info("no memory for the answer of another host", "request", q.id, "bytes", len(a.Body), "err", err)
+		return Answer{Reason: Broken}
+	}
+	return a
+}
--- a/internal/route/relayer/delegate_test.go
+++ b/internal/route/relayer/delegate_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
+	"gentianpond/internal/backend/connector"
 	"gentianpond/internal/fleet/registrar"
 	"gentianpond/internal/route/router"
 )
@@ -188,3 +189,28 @@
 	request.Table = 1
 	require.Equal(t, NotReady, env.relayer.Do(t.Context(), request).Reason)
 }
+
+// TestDelegatedAnswerCounted guards against answers of other hosts that take the memory of this
+// one, and against memory that is not returned with them.
+func TestDelegatedAnswerCounted(t *testing.T) {
+	env := newTestEnv(t, []router.Route{singleRoute(router.Unsafe)}, map[string][]string{"s": {"a"}})
+	env.relayer.memory = connector.NewAllowance(10<<10, nil)
+	other := &fakeDelegator{}
+	env.relayer.config.Delegator = other
+	cutLinks(env).Store(true)
+	env.reincarnate()
+	get := func(length int) Answer {
+		other.answer = Answer{Reason: Served, Status: http.StatusOK, Header: http.Header{"Stamp": {"x"}}, Body: make([]byte, length)}
+		return env.get(t, "/x")
+	}
+	first := get(6 << 10)
+	require.Equal(t, Served, first.Reason)
+	require.EqualValues(t, 6<<10, env.relayer.memory.Used())
+	require.Equal(t, Broken, get(6<<10).Reason, "no memory")
+	require.Equal(t, Served, get(uncountedBytes).Reason)
+	first.Release()
+	require.Zero(t, env.relayer.memory.Used())
+	second := get(6 << 10)
+	require.Equal(t, Served, second.Reason)
+	second.Release()
+}
