A search that restarts may have run

Nothing is said of them by the refusal of others. It gets 504 "unknown" now.

TestRestartAfterStart failed before with "no backend server started the search".

--- a/internal/search/coordinator/query.go
+++ b/internal/search/coordinator/query.go
@@ -131,11 +131,14 @@
 	q.guard = crashGuard{alone: q.request.Alone, canary: q.request.Canary || q.request.Alone}
 }
 
-// cancelAttempts cancels the attempts in flight. The time that they ran is
-// recorded: without the stragglers that lost to a hedge, the hedge delay would
-// shrink.
+// cancelAttempts cancels the attempts in flight, which servers may have started.
+// The time that they ran is recorded: without the stragglers that lost to a hedge,
+// the hedge delay would shrink.
 func (q *query) cancelAttempts(stop context.CancelFunc) {
 	stop()
+	if len(q.attempts) > 0 {
+		q.mayHaveStarted = true
+	}
 	now := time.Now()
 	for _, a := range q.attempts {
 		q.recordOutcome(now, a, selector.Cancelled)
--- a/internal/search/coordinator/search_test.go
+++ b/internal/search/coordinator/search_test.go
@@ -221,3 +221,48 @@
 	q.request.Answers = nil
 	require.Equal(t, long, q.countAnswer(long), "no limit")
 }
+
+// withdrawnSender is a Sender whose servers have withdrawn shard 0 of the first snapshot that is
+// searched, run the searches of its other shards without an answer, and refuse all others.
+type withdrawnSender struct {
+	mu    sync.Mutex
+	first string
+}
+
+func (w *withdrawnSender) Scan(ctx context.Context, _ assigner.Member, r *messenger.ScanRequest, onReply func(*messenger.ScanReply)) error {
+	w.mu.Lock()
+	if w.first == "" {
+		w.first = r.GetSnapshot()
+	}
+	first := r.GetSnapshot() == w.first
+	w.mu.Unlock()
+	waits := false
+	for _, s := range r.GetSubrequests() {
+		m := &messenger.ScanReply{Attempt: s.GetAttempt(), Shard: s.GetShard(), Snapshot: r.GetSnapshot(), Status: uint32(caller.Shed)}
+		if first && s.GetShard() == 0 {
+			m.Status = uint32(caller.Missing)
+		} else if first {
+			waits = true
+			continue
+		}
+		onReply(m)
+	}
+	if waits {
+		<-ctx.Done()
+	}
+	return nil
+}
+
+// TestRestartAfterStart guards against a search that is called not started although servers ran it
+// on a snapshot that it gave up.
+func TestRestartAfterStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		self := assigner.Member{Name: "entry-1", Zone: "zone-1", Incarnation: 1}
+		scope := tally.NewTestScope("", nil)
+		c := New(self, &withdrawnSender{}, scope)
+		c.Update(time.Now(), directoryOf(self, "1", "2"))
+		_, err := c.Search(t.Context(), Request{Archive: "albums", Lane: "interactive", Deadline: time.Now().Add(time.Second)})
+		require.EqualValues(t, 1, scope.Snapshot().Counters()["search_restarts+"].Value())
+		require.ErrorIs(t, err, ErrNoAnswer)
+	})
+}
