Soak and crowds: unconfirmed refusals, version 0, servers without end at a relay

Stand-in servers can run a request and answer 408, 429 or 503 without a statement, and send bytes without end. The soak uses the first where servers refuse requests, and every second seed begins with a document of version 0.

--- a/internal/control/keeper/evacuation.go
+++ b/internal/control/keeper/evacuation.go
@@ -63,7 +63,7 @@
 }
 
 // applyPublish applies a command that holds a routing document, or an order about an
-// availability zone in place of one.
+// availability zone in place of one. An order has version 0, a zone and no document.
 func (k *Keeper) applyPublish(p *messenger.PublishRequest) Result {
 	if p.GetVersion() > 0 || p.GetZone() == "" && len(p.GetPacked()) > 0 {
 		return Result{RoutingVersion: k.routing.replaceIfNewer(p)}
--- a/internal/route/relayer/outcome_test.go
+++ b/internal/route/relayer/outcome_test.go
@@ -75,7 +75,7 @@
 	case "gathered":
 		route.Kind, route.Targets, route.Shards, route.TopK, route.MinCoverage = router.Safe, nil, []string{"s"}, 1, 1
 	}
-	// Sends that wait for a slow test machine are not hedged.
+	// The objective is long, so that no send is hedged.
 	route.Timeout, route.Objective = 5*time.Second, 4*time.Second
 	env = newTestEnv(t, []router.Route{route}, map[string][]string{"s": {"a", "b"}})
 	asking = env
--- a/test/crowd/answers_test.go
+++ b/test/crowd/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -270,3 +271,73 @@
 		require.Less(t, sent.Load(), int64(256<<20), "%s reads on", args[0])
 	}
 }
+
+// TestEndlessServers is TestEndlessAnswers for a relay: three of four servers of each service send
+// without end.
+func TestEndlessServers(t *testing.T) {
+	y := start(t)
+	random := rand.New(rand.NewPCG(3, 4))
+	var faulty []*standin.Backend
+	for i, service := range append([]string{standin.OrderService}, standin.ShardServices...) {
+		for j := range 3 {
+			b, err := standin.StartBackend(fmt.Sprintf("e-%s-%d", service, j), service, "z0", y.ControlAddresses, random.Float64, nil)
+			require.NoError(t, err)
+			t.Cleanup(b.Crash)
+			b.SetBehavior(standin.Behavior{Endless: searcher.EndlessKinds[(3*i+j)%len(searcher.EndlessKinds)]})
+			faulty = append(faulty, b)
+		}
+	}
+	var served atomic.Int64
+	var mu sync.Mutex
+	var refused []string
+	var group sync.WaitGroup
+	end := time.Now().Add(endlessTime)
+	serviceOf := func(id string) string { return id[2 : len(id)-len("-0")] }
+	for n := range 120 {
+		group.Go(func() {
+			c := &standin.Client{Address: y.EntryAddresses[0], ServiceOf: func(id string) string {
+				if strings.HasPrefix(id, "i-") {
+					return id[2:]
+				}
+				return serviceOf(id)
+			}}
+			for i := 0; time.Now().Before(end); i++ {
+				id := fmt.Sprintf("endless-%d-%d", n, i)
+				o := standin.Outcome{}
+				switch n % 3 {
+				case 0:
+					o = c.Search(id, id)
+				case 1:
+					o = c.Fetch(id, id)
+				default:
+					o = c.Order(id, id)
+				}
+				if o.Served {
+					served.Add(1)
+				}
+				if standin.NotRun(o.Status) {
+					mu.Lock()
+					refused = append(refused, id)
+					mu.Unlock()
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d requests served, %d refused", served.Load(), len(refused))
+	y.requireBounded(y.Relays[0])
+	require.Positive(t, served.Load())
+	runs := map[string]int{}
+	for _, b := range faulty {
+		b.ForEachRun(func(id string, n int) { runs[id] += n })
+	}
+	for _, id := range refused {
+		require.Zero(t, runs[id], "request %s was refused and ran", id)
+	}
+	for _, b := range faulty {
+		b.SetBehavior(standin.Behavior{})
+	}
+	y.requireServed()
+	y.requireBounded(y.Relays[0])
+}
--- a/test/fakes/searcher/endless.go
+++ b/test/fakes/searcher/endless.go
@@ -30,8 +30,8 @@
 // slowPause is the pause between two blocks of the kind "slow".
 const slowPause = 5 * time.Millisecond
 
-// sendEndless sends bytes of a kind until the caller closes the connection.
-func sendEndless(w http.ResponseWriter, kind string) {
+// SendEndless sends bytes of a kind until the caller closes the connection.
+func SendEndless(w http.ResponseWriter, kind string) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		return
--- a/test/fakes/searcher/handle.go
+++ b/test/fakes/searcher/handle.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if isEndless(b.Endless) {
-		sendEndless(w, b.Endless)
+		SendEndless(w, b.Endless)
 		return
 	}
 	f.reply(w, q, b)
--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -219,8 +219,8 @@
 	return b, s.proxies[b]
 }
 
-// degradeBackend makes a backend server slow, reset connections, refuse requests
-// or answer twice.
+// degradeBackend makes a backend server slow, reset connections, refuse requests, which
+// it may have run, or answer twice.
 func (s *soak) degradeBackend(length time.Duration) {
 	b, p := s.randomBackend()
 	if s.isLimited(p) {
@@ -233,7 +233,7 @@
 	case 1:
 		v.ResetRate, v.StatusRate = 0.3, 0.3
 	case 2:
-		v.RefuseRate = 0.5
+		v.RefuseRate, v.UnconfirmedRate = 0.5, 0.3
 	case 3:
 		v.DuplicateRate = 0.3
 	}
--- a/test/soak/soak.go
+++ b/test/soak/soak.go
@@ -109,7 +109,8 @@
 // runSeed runs one seed with faults for the given length, then waits for
 // recovery and checks the executions. Logs and data go to the folder.
 func runSeed(binary, folder string, seed uint64, length time.Duration) (runResult, error) {
-	s, err := startSoak(binary, folder, seed)
+	// Every second run begins with a document of version 0.
+	s, err := startSoakWith(binary, folder, seed, seed%2)
 	if err != nil {
 		return runResult{}, err
 	}
@@ -123,6 +124,11 @@
 // startSoak starts the processes and backend servers of a run and waits until
 // all relays are ready.
 func startSoak(binary, folder string, seed uint64) (*soak, error) {
+	return startSoakWith(binary, folder, seed, 1)
+}
+
+// startSoakWith is startSoak with the version of the first document.
+func startSoakWith(binary, folder string, seed, version uint64) (*soak, error) {
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
@@ -144,7 +150,10 @@
 			s.addBackend(service)
 		}
 	}
-	s.publishDocument(0)
+	s.lastVersion.Store(version)
+	if _, failure := s.operator.Publish(version, 0, recoveryLimit); failure != "" {
+		s.failf("operator: %s", failure)
+	}
 	if !system.WaitReady(readyLimit) {
 		s.close()
 		return nil, fmt.Errorf("seed %d: the system is not ready after %s, logs in %s", seed, readyLimit, folder)
--- a/test/standin/backend.go
+++ b/test/standin/backend.go
@@ -19,6 +19,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gentianpond/test/fakes/searcher"
 )
 
 // Interval between the check-ins of a backend server, and the limit on each call.
@@ -39,6 +41,12 @@
 	// StatusRate is the share of the requests that run and are answered with a status that HTTP
 	// does not define.
 	StatusRate float64
+	// UnconfirmedRate is the share of the requests that run and are answered with a status that
+	// promises that they have not, without a statement of that.
+	UnconfirmedRate float64
+	// Endless is one of searcher.EndlessKinds. All requests run and get bytes without end in
+	// place of an answer. Empty means that they do not.
+	Endless string
 	// Limit is the rate limit, in requests a second, that the server names in its
 	// answers, 0 for none.
 	Limit float64
@@ -314,7 +322,15 @@
 		writeUndefinedStatus(w, id)
 		return
 	}
+	if v.Endless != "" {
+		searcher.SendEndless(w, v.Endless)
+		return
+	}
 	w.Header().Set("X-Response-Stamp", Signature(b.ID, id))
+	if v.UnconfirmedRate > 0 && b.randomFloat() < v.UnconfirmedRate {
+		w.WriteHeader(promises[int(b.randomFloat()*float64(len(promises)))])
+		return
+	}
 	body := Records(b.Service, r.URL.Path)
 	_, _ = w.Write(body)
 	if b.randomFloat() < v.DuplicateRate {
@@ -322,6 +338,10 @@
 	}
 }
 
+// promises are the statuses that promise clients that their request has not run, without the
+// one that is a statement of the server.
+var promises = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
 // writeUndefinedStatus answers with status 000, which net/http does not write.
 func writeUndefinedStatus(w http.ResponseWriter, id string) {
 	h, ok := w.(http.Hijacker)
