--- a/test/soak/unconfirmed_test.go
+++ b/test/soak/unconfirmed_test.go
@@ -38,6 +38,8 @@
 	require.Positive(t, count[200])
 	require.Positive(t, count[502], "orders whose outcome is unknown")
 	for _, b := range f.backends {
-		b.ForEachRun(func(id string, _ int) { require.False(t, standin.NotRun(statuses[id]), "request %s got %d and has run", id, statuses[id]) })
+		b.ForEachRun(func(id string, _ int) {
+			require.False(t, standin.NotRun(statuses[id]), "request %s got %d and has run", id, statuses[id])
+		})
 	}
 }
