--- a/test/soak/zero_test.go
+++ b/test/soak/zero_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -159,3 +160,29 @@
 		f.requireServed(t, relay)
 	}
 }
+
+// TestVersionZeroWithoutMember guards against a first document of version 0 that is refused because
+// a member of this build has been lost before.
+func TestVersionZeroWithoutMember(t *testing.T) {
+	binary, root := build(t)
+	for lost := range members {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			folder := seedFolder(root, uint64(lost))
+			require.NoError(t, os.Mkdir(folder, 0o700))
+			f := startFleetOf(t, binary, folder, 16+uint64(lost), 1)
+			// A check-in is acknowledged once there is a leader.
+			require.Eventually(t, func() bool {
+				status, _ := standin.Call(http.MethodDelete, "http://"+f.system.ControlAddresses[0]+"/v1/instances/none", nil, time.Second)
+				return status == http.StatusOK
+			}, recoveryLimit, 50*time.Millisecond)
+			require.NoError(t, f.system.Members[lost].Signal(syscall.SIGKILL))
+			f.publish(t, 0)
+			for member := range members {
+				if member != lost {
+					f.requireDocument(t, 0, member)
+				}
+			}
+			f.requireServed(t, 0)
+		})
+	}
+}
