Store version 0 without a member that is lost for good

Version 0 is stored only while all members are known to keep it. After 5 s of silence the leader does not wait for such a member any more. One that comes back with an earlier build gets the document when it is replaced, as before.

--- a/internal/control/server/formats.go
+++ b/internal/control/server/formats.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -15,6 +16,11 @@
 // builds name no format and store no routing document of version 0.
 const stateFormat = 1
 
+// formatWait is how long a leader waits to hear of a member before it stores a document of
+// version 0 without it. A member that is lost for good must not keep the document out. One of
+// an earlier build that comes back later gets the document when it has been replaced.
+const formatWait = 5 * time.Second
+
 // formats holds the format that each control host named last, by the id of its data folder.
 type formats map[uint64]uint32
 
@@ -39,12 +45,12 @@
 // check returns an error unless all members store the newest format. A member that does not
 // could lead later, or send a snapshot to others, without what it has not stored. The code
 // is FailedPrecondition for a member of an earlier build, and Unavailable for one that has
-// not been heard of yet.
+// not been heard of yet. One that is silent for formatWait is not waited for.
 func (f formats) check(s replicator.Status) error {
 	for _, m := range s.Members {
 		format, known := f[m.ID]
 		switch {
-		case m.ID == s.ID || format >= stateFormat:
+		case m.ID == s.ID || format >= stateFormat, !known && m.Silence >= formatWait:
 		case known:
 			return status.Errorf(codes.FailedPrecondition, "control host %s runs an earlier version", m.Name)
 		default:
--- a/internal/control/server/zero_test.go
+++ b/internal/control/server/zero_test.go
@@ -107,15 +107,18 @@
 }
 
 // TestFormats guards against a routing document of version 0 that is stored while a member
-// would not keep it. A line of the script is "member format", with "?" for one that has not
-// been heard of; the first is this host.
+// would not keep it, and against one that is refused because of a member that is lost. A line of
+// the script is "member format silence", with the format "?" for one that has not been heard of;
+// the first is this host.
 func TestFormats(t *testing.T) {
 	datadriven.RunTest(t, "testdata/formats", func(t *testing.T, d *datadriven.TestData) string {
 		f, s := formats{}, replicator.Status{}
 		for line := range strings.Lines(d.Input) {
 			words := strings.Fields(line)
 			id := uint64(len(s.Members) + 1)
-			s.Members = append(s.Members, replicator.MemberStatus{Member: replicator.Member{ID: id, Name: words[0], Voter: true}})
+			silence, err := time.ParseDuration(words[2])
+			require.NoError(t, err)
+			s.Members = append(s.Members, replicator.MemberStatus{Member: replicator.Member{ID: id, Name: words[0], Voter: true}, Silence: silence})
 			if format, err := strconv.ParseUint(words[1], 10, 32); err == nil {
 				f.record(id, uint32(format), s.Members)
 			}
--- a/test/soak/zero_test.go
+++ b/test/soak/zero_test.go
@@ -162,7 +162,7 @@
 }
 
 // TestVersionZeroWithoutMember guards against a first document of version 0 that is refused because
-// a member of this build has been lost before.
+// a member of this build has been lost before, also if no other member remembers it.
 func TestVersionZeroWithoutMember(t *testing.T) {
 	binary, root := build(t)
 	for lost := range members {
@@ -176,6 +176,9 @@
 				return status == http.StatusOK
 			}, recoveryLimit, 50*time.Millisecond)
 			require.NoError(t, f.system.Members[lost].Signal(syscall.SIGKILL))
+			if lost == 0 {
+				restartAll(t, syscall.SIGKILL, "", f.system.Members[1:]...)
+			}
 			f.publish(t, 0)
 			for member := range members {
 				if member != lost {
