test/soak: one limit at a time for a server

Two faults of this kind could meet at one server: the later one replaced the limit of the first, which then counted arrivals against a limit that the server no longer named. The check and its bound are unchanged; a server that names a limit gets no second one.

--- a/test/soak/fault.go
+++ b/test/soak/fault.go
@@ -258,8 +258,13 @@
 	b, p := s.randomBackend()
 	limit := 0.5 + 20*s.randomFloat()
 	s.mu.Lock()
+	limited := s.limited[p]
 	s.limited[p] = true
 	s.mu.Unlock()
+	if limited {
+		// Another fault of this kind has set a limit, and checks it.
+		return
+	}
 	b.SetBehavior(standin.Behavior{Latency: 3 * time.Millisecond, Limit: limit})
 	start := time.Now()
 	time.Sleep(limitSettle + limitWindow/2 + length)
